--- /dev/null
+++ b/packages/cardamomrun-backends/src/cardamomrun_backends/__init__.py
@@ -0,0 +1,1 @@
+"""Knowledge of backend servers: announcements, evidence, ejection, selection."""
--- /dev/null
+++ b/packages/cardamomrun-base/src/cardamomrun_base/documents.py
@@ -0,0 +1,215 @@
+"""The environment document: one per service, the same bytes in trial and production."""
+
+import hashlib
+from dataclasses import dataclass
+from enum import StrEnum
+from pathlib import Path
+from typing import Annotated, Any
+
+from pydantic import ConfigDict, Field, TypeAdapter, ValidationError
+
+from cardamomrun_base.errors import CardamomrunError, DocumentError
+from cardamomrun_base.jsonc import JsonWithComments, JsonWithCommentsError, parse
+
+__all__ = [
+    "EnvironmentDocument",
+    "Floor",
+    "Idempotency",
+    "KeyRule",
+    "Limits",
+    "Profile",
+    "Retries",
+    "Route",
+    "check_fields",
+    "document_digest",
+    "load_document",
+]
+
+STRICT = ConfigDict(extra="forbid", strict=False)
+
+Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
+Ratio = Annotated[float, Field(ge=0.0, le=1.0)]
+TimeoutMs = Annotated[int, Field(ge=10, le=600_000)]
+
+
+class Profile(StrEnum):
+    """The trade between false ejections and detection time."""
+
+    FEWEST_FALSE_EJECTIONS = "fewest-false-ejections"
+    FASTEST_DETECTION = "fastest-detection"
+
+
+class Idempotency(StrEnum):
+    """Whether requests of a route may be sent again after a failure."""
+
+    BY_METHOD = "by-method"
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non-idempotent"
+
+
+class KeyRule(StrEnum):
+    """Whether a non-idempotent request needs an Idempotency-Key header."""
+
+    OPTIONAL = "optional"
+    REQUIRED = "required"
+
+
+@dataclass(frozen=True)
+class Route:
+    """Requests with this path prefix; the longest prefix of a path wins.
+
+    `attempt_timeout_ms` bounds the wait for the answer head of one attempt,
+    `deadline_ms` the whole request when the caller gives no deadline.
+    """
+
+    __pydantic_config__ = STRICT
+
+    prefix: Annotated[str, Field(pattern=r"^/")]
+    methods: tuple[str, ...] = ()
+    idempotency: Idempotency = Idempotency.BY_METHOD
+    idempotency_key: KeyRule = KeyRule.OPTIONAL
+    attempt_timeout_ms: TimeoutMs = 2_000
+    deadline_ms: TimeoutMs = 10_000
+    slow_ms: TimeoutMs = 500
+    max_body_bytes: Annotated[int, Field(ge=0, le=10_000_000_000)] = 104_857_600
+
+
+@dataclass(frozen=True)
+class Floor:
+    """The smallest share of announced backend servers that stays healthy."""
+
+    __pydantic_config__ = STRICT
+
+    healthy_ratio: Ratio = 0.7
+    healthy_count: Annotated[int, Field(ge=0, le=100_000)] = 1
+
+
+@dataclass(frozen=True)
+class Limits:
+    """Admission on one entry instance."""
+
+    __pydantic_config__ = STRICT
+
+    concurrency_count: Annotated[int, Field(ge=1, le=10_000)] = 32
+    queue_count: Annotated[int, Field(ge=0, le=10_000)] = 64
+    queue_wait_ms: TimeoutMs = 1_000
+    subset_count: Annotated[int, Field(ge=1, le=1_000)] = 12
+    connections_per_server_count: Annotated[int, Field(ge=1, le=100)] = 4
+
+
+@dataclass(frozen=True)
+class Retries:
+    """Retries of idempotent requests, and of any request that was not run."""
+
+    __pydantic_config__ = STRICT
+
+    budget_ratio: Ratio = 0.1
+    attempt_count: Annotated[int, Field(ge=1, le=5)] = 3
+
+
+@dataclass(frozen=True)
+class EnvironmentDocument:
+    """All that operators declare about a service."""
+
+    __pydantic_config__ = STRICT
+
+    service: Name
+    hosts: Annotated[tuple[str, ...], Field(min_length=1, max_length=100)]
+    routes: Annotated[tuple[Route, ...], Field(min_length=1, max_length=10_000)]
+    profile: Profile = Profile.FEWEST_FALSE_EJECTIONS
+    floor: Floor = Floor()
+    limits: Limits = Limits()
+    retries: Retries = Retries()
+    customer_header: str = "Cardamomrun-Customer"
+
+
+_document_adapter = TypeAdapter(EnvironmentDocument)
+
+
+def document_digest(document: bytes) -> str:
+    """Return the SHA-256 of the exact bytes, in hexadecimal."""
+    return hashlib.sha256(document).hexdigest()
+
+
+def load_document(data: bytes, name: str) -> EnvironmentDocument:
+    """Parse and check a document.
+
+    `name` is the file that error messages name. Raises `DocumentError` with the line
+    and key of the first fault.
+    """
+    parsed = _parse(data, name)
+    document = check_fields(_document_adapter, parsed, name, DocumentError)
+    _check_routes(document, parsed, name)
+    return document
+
+
+def _parse(data: bytes, name: str) -> JsonWithComments:
+    try:
+        return parse(data.decode("utf-8"))
+    except UnicodeDecodeError as error:
+        raise DocumentError(
+            f"{name}: the file is not UTF-8.", remedy="save it as UTF-8"
+        ) from error
+    except JsonWithCommentsError as error:
+        raise DocumentError(
+            f"{_place(name, error.line)}: {error}.",
+            remedy="correct the JSON at this place",
+        ) from error
+
+
+def check_fields(
+    adapter: TypeAdapter,
+    parsed: JsonWithComments,
+    name: str,
+    error_type: type[CardamomrunError],
+) -> Any:
+    """Return the typed form of a parsed text, or raise `error_type` with line and key."""
+    try:
+        return adapter.validate_python(parsed.value)
+    except ValidationError as error:
+        fault = error.errors(include_url=False)[0]
+        path = tuple(fault["loc"])
+        key = ".".join(str(part) for part in path) or "(whole file)"
+        place = _place(name, parsed.line_of(path))
+        raise error_type(
+            f"{place}: key {key}: {fault['msg']}.", remedy=_remedy(fault)
+        ) from error
+
+
+def _remedy(fault: Any) -> str:
+    if fault["type"] in ("unexpected_keyword_argument", "extra_forbidden"):
+        return "remove the key or correct its spelling; docs/interfaces.md lists all"
+    if fault["type"] in ("missing", "missing_argument"):
+        return "add the key; docs/interfaces.md gives its meaning"
+    return "give a value of the type and range in docs/interfaces.md"
+
+
+def _place(name: str, line: int | None) -> str:
+    return name if line is None else f"{name}, line {line}"
+
+
+def _check_routes(
+    document: EnvironmentDocument, parsed: JsonWithComments, name: str
+) -> None:
+    seen: dict[tuple[str, str], int] = {}
+    for index, route in enumerate(document.routes):
+        for method in route.methods or ("*",):
+            earlier = seen.setdefault((route.prefix, method), index)
+            if earlier != index:
+                line = parsed.line_of(("routes", index))
+                raise DocumentError(
+                    f"{_place(name, line)}: key routes.{index}: prefix "
+                    f"{route.prefix} and method {method} are in routes.{earlier} too.",
+                    remedy="remove one of the two routes",
+                )
+
+
+def read_document(path: Path) -> bytes:
+    """Return the bytes of a document file, or raise `DocumentError`."""
+    try:
+        return path.read_bytes()
+    except OSError as error:
+        raise DocumentError(
+            f"{path}: cannot be read ({error.strerror}).",
+            remedy="check the path and its permissions",
+        ) from error
--- /dev/null
+++ b/packages/cardamomrun-base/src/cardamomrun_base/errors.py
@@ -0,0 +1,119 @@
+"""Typed errors. Each message names the remedy."""
+
+__all__ = [
+    "CardamomrunError",
+    "ConflictError",
+    "CredentialError",
+    "DocumentError",
+    "NotLeaderError",
+    "PeerTimeoutError",
+    "PeerUnreachableError",
+    "SettingsError",
+    "StorageError",
+    "UnavailableError",
+]
+
+EXIT_FAILURE = 1
+EXIT_USAGE = 2
+EXIT_SETTINGS = 3
+EXIT_ADDRESS_IN_USE = 4
+EXIT_STORAGE = 5
+EXIT_REFUSED = 6
+EXIT_CONFLICT = 7
+EXIT_UNAVAILABLE = 8
+EXIT_CREDENTIALS = 9
+
+
+class CardamomrunError(Exception):
+    """Base of all errors raised by cardamomrun.
+
+    `kind` is the stable name in machine-readable output, `remedy` tells the reader
+    what to do, and `exit_code` is the status with which a program ends.
+    """
+
+    kind = "error"
+    exit_code = EXIT_FAILURE
+
+    def __init__(self, message: str, *, remedy: str) -> None:
+        super().__init__(message)
+        self.message = message
+        self.remedy = remedy
+
+    def __str__(self) -> str:
+        return f"{self.message} Remedy: {self.remedy}"
+
+
+class SettingsError(CardamomrunError):
+    """The settings file of a node is unreadable or wrong."""
+
+    kind = "settings"
+    exit_code = EXIT_SETTINGS
+
+
+class DocumentError(CardamomrunError):
+    """An environment document is unreadable or wrong."""
+
+    kind = "document"
+    exit_code = EXIT_SETTINGS
+
+
+class AddressInUseError(CardamomrunError):
+    """A listener could not be opened."""
+
+    kind = "address-in-use"
+    exit_code = EXIT_ADDRESS_IN_USE
+
+
+class StorageError(CardamomrunError):
+    """The data folder cannot be read, written or synced, or holds damaged files."""
+
+    kind = "storage"
+    exit_code = EXIT_STORAGE
+
+
+class CredentialError(CardamomrunError):
+    """A key or token is missing, wrong or replayed."""
+
+    kind = "credentials"
+    exit_code = EXIT_CREDENTIALS
+
+
+class ConflictError(CardamomrunError):
+    """A change expected another version, or its number was used for other content."""
+
+    kind = "conflict"
+    exit_code = EXIT_CONFLICT
+
+
+class UnavailableError(CardamomrunError):
+    """The operation needs a part of the fleet that cannot be reached now."""
+
+    kind = "unavailable"
+    exit_code = EXIT_UNAVAILABLE
+
+
+class NotLeaderError(UnavailableError):
+    """The control instance asked does not lead.
+
+    `leader_admin_address` names the one that does, if it is known.
+    """
+
+    kind = "not-leader"
+
+    def __init__(
+        self, message: str, *, remedy: str, leader_admin_address: str | None = None
+    ) -> None:
+        super().__init__(message, remedy=remedy)
+        self.leader_admin_address = leader_admin_address
+
+
+class PeerUnreachableError(UnavailableError):
+    """There is no working link to the peer."""
+
+    kind = "peer-unreachable"
+
+
+class PeerTimeoutError(UnavailableError):
+    """The peer did not answer a message in time."""
+
+    kind = "peer-timeout"
--- /dev/null
+++ b/packages/cardamomrun-base/src/cardamomrun_base/interfaces.py
@@ -0,0 +1,160 @@
+"""Interfaces between packages; each is implemented in the package named."""
+
+from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Any, Protocol
+
+from cardamomrun_base.documents import EnvironmentDocument
+from cardamomrun_base.model import (
+    BackendBody,
+    EnvironmentBody,
+    EnvironmentId,
+    InstanceId,
+    Kind,
+    MemberBody,
+    Record,
+    ServerId,
+)
+
+__all__ = [
+    "Attempt",
+    "AttemptResult",
+    "Backends",
+    "Environment",
+    "Environments",
+    "Fleet",
+    "RecordStore",
+    "ServiceView",
+]
+
+
+class RecordStore(Protocol):
+    """Replicated records (`cardamomrun_fleet.store`)."""
+
+    def get(self, kind: Kind, key: str) -> Record | None:
+        """Return the live record of a key."""
+
+    def all(self, kind: Kind) -> list[Record]:
+        """Return all live records of a kind."""
+
+    def put(self, record: Record) -> bool:
+        """Merge a record; flood it and return True if it is newer than what was held."""
+
+    def subscribe(self, kind: Kind, callback: Callable[[Record], None]) -> None:
+        """Call back with each record of the kind that wins, from here or from a peer."""
+
+
+class Fleet(Protocol):
+    """Peer links and membership (`cardamomrun_fleet.fleet`)."""
+
+    instance_id: InstanceId
+    store: RecordStore
+
+    async def request(
+        self, instance_id: InstanceId, message: Any, *, timeout_ms: int
+    ) -> Any:
+        """Send a message and return the answer; opens a link if there is none.
+
+        Raises `PeerUnreachableError` if no byte left, `PeerTimeoutError` otherwise.
+        """
+
+    def handle(
+        self,
+        message_type: type,
+        handler: Callable[[InstanceId, Any], Awaitable[Any]],
+    ) -> None:
+        """Answer messages of a type with the result of `handler(peer_id, message)`."""
+
+    def add_address(self, instance_id: InstanceId, peer_address: str) -> None:
+        """Name the peer address of an instance that has no member record yet."""
+
+    def members(self) -> list[MemberBody]:
+        """Return the instances that are not gone and not taken as failed."""
+
+    def may_be_behind(self) -> bool:
+        """Return True while this instance knows that it may lack newer records."""
+
+
+@dataclass(frozen=True)
+class Environment:
+    """An environment in force on this instance."""
+
+    body: EnvironmentBody
+    document: EnvironmentDocument
+
+
+class Environments(Protocol):
+    """Documents in force on this instance (`cardamomrun_node.environments`)."""
+
+    def get(self, environment: EnvironmentId) -> Environment | None:
+        """Return an environment by its name."""
+
+    def by_host(self, host: str) -> Environment | None:
+        """Return the environment that a Host header selects."""
+
+    def all(self) -> Iterable[Environment]:
+        """Return all environments in force."""
+
+
+class AttemptResult(StrEnum):
+    """How one attempt at a backend server ended, as evidence about the server."""
+
+    GOOD = "good"
+    FAILED = "failed"
+    SLOW = "slow"
+    UNREACHABLE = "unreachable"
+    SHED = "shed"
+    NO_EVIDENCE = "no-evidence"
+
+
+@dataclass(frozen=True)
+class Attempt:
+    """A request in flight at a backend server."""
+
+    environment: EnvironmentId
+    server: BackendBody
+    started_ms: float
+
+
+@dataclass(frozen=True)
+class ServiceView:
+    """Backend servers of an environment as this instance sees them.
+
+    `floor_count` is the smallest number of healthy servers that the document allows.
+    """
+
+    environment: EnvironmentId
+    healthy: tuple[ServerId, ...]
+    ejected: tuple[ServerId, ...]
+    avoided: tuple[ServerId, ...]
+    draining: tuple[ServerId, ...]
+    starting: tuple[ServerId, ...]
+    floor_count: int
+
+
+class Backends(Protocol):
+    """Knowledge of backend servers (`cardamomrun_backends.backends`)."""
+
+    def choose(
+        self, environment: EnvironmentId, *, exclude: frozenset[ServerId] = frozenset()
+    ) -> BackendBody | None:
+        """Return a backend server for one attempt, or None if there is none."""
+
+    def started(self, server: BackendBody) -> Attempt:
+        """Count a request in flight; end it with `finished`."""
+
+    def finished(
+        self,
+        attempt: Attempt,
+        result: AttemptResult,
+        *,
+        retry_after_s: int | None = None,
+    ) -> None:
+        """Record how an attempt ended; `retry_after_s` goes with `SHED`."""
+
+    def is_current(self, server: BackendBody) -> bool:
+        """Return False once the server drains, is gone, or has a newer incarnation."""
+
+    def view(self, environment: EnvironmentId) -> ServiceView:
+        """Return the state of all backend servers of an environment."""
--- /dev/null
+++ b/packages/cardamomrun-base/src/cardamomrun_base/logs.py
@@ -0,0 +1,40 @@
+"""Logs through eliot: one JSON object a line, with the part and the request id."""
+
+import sys
+from typing import Any, TextIO
+
+from eliot import FileDestination, add_global_fields, log_message
+from eliot import add_destinations as _add_destinations
+
+__all__ = ["PartLog", "start_logs"]
+
+
+class PartLog:
+    """Writes short sentences with the fixed prefix of one part, such as `front:`."""
+
+    def __init__(self, part: str) -> None:
+        self._part = part
+
+    def info(self, sentence: str, **fields: Any) -> None:
+        """Log an ordinary event; `fields` hold identifiers, not free text."""
+        self._write("info", sentence, fields)
+
+    def warning(self, sentence: str, **fields: Any) -> None:
+        """Log an event that an operator may have to look at."""
+        self._write("warning", sentence, fields)
+
+    def error(self, sentence: str, **fields: Any) -> None:
+        """Log a failure that needs an operator."""
+        self._write("error", sentence, fields)
+
+    def _write(self, level: str, sentence: str, fields: dict[str, Any]) -> None:
+        text = f"{self._part}: {sentence}"
+        log_message(
+            message_type=f"cardamomrun:{self._part}", level=level, text=text, **fields
+        )
+
+
+def start_logs(instance_id: str, stream: TextIO = sys.stderr) -> None:
+    """Send all log entries of this process to `stream`, each with the instance id."""
+    add_global_fields(instance_id=instance_id)
+    _add_destinations(FileDestination(file=stream))
--- /dev/null
+++ b/packages/cardamomrun-base/src/cardamomrun_base/settings.py
@@ -0,0 +1,173 @@
+"""Settings of a node, read from one file of JSON with comments."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+from pathlib import Path
+from typing import Annotated
+
+from pydantic import ConfigDict, Field, IPvAnyAddress, TypeAdapter
+
+from cardamomrun_base.documents import check_fields
+from cardamomrun_base.errors import SettingsError
+from cardamomrun_base.jsonc import JsonWithCommentsError, parse
+
+__all__ = [
+    "ControlSettings",
+    "FleetSettings",
+    "NodeSettings",
+    "Role",
+    "TlsSettings",
+    "Voter",
+    "load_settings",
+]
+
+STRICT = ConfigDict(extra="forbid")
+
+Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
+Port = Annotated[int, Field(ge=1, le=65_535)]
+PeerAddress = Annotated[str, Field(pattern=r"^[0-9a-fA-F.:\[\]]+:[0-9]{1,5}$")]
+
+
+class Role(StrEnum):
+    """What a node does."""
+
+    ENTRY = "entry"
+    CONTROL = "control"
+
+
+@dataclass(frozen=True)
+class Voter:
+    """A control instance that votes when the log is first created."""
+
+    __pydantic_config__ = STRICT
+
+    instance_id: Name
+    peer_address: PeerAddress
+
+
+@dataclass(frozen=True)
+class ControlSettings:
+    """Settings of the control role.
+
+    `voters` is read only when the data folder is empty; later changes go through the
+    log.
+    """
+
+    __pydantic_config__ = STRICT
+
+    data_folder: Path
+    voters: Annotated[tuple[Voter, ...], Field(min_length=1, max_length=8)]
+    operator_tokens_file: Path
+    election_timeout_ms: Annotated[int, Field(ge=100, le=60_000)] = 1_000
+    heartbeat_ms: Annotated[int, Field(ge=10, le=10_000)] = 200
+    snapshot_entry_count: Annotated[int, Field(ge=10, le=1_000_000)] = 1_000
+
+
+@dataclass(frozen=True)
+class FleetSettings:
+    """Settings of peer links and membership."""
+
+    __pydantic_config__ = STRICT
+
+    key_file: Path
+    seeds: tuple[PeerAddress, ...] = ()
+    overlay_links: Annotated[int, Field(ge=1, le=32)] = 4
+    ping_ms: Annotated[int, Field(ge=50, le=60_000)] = 1_000
+    silence_ms: Annotated[int, Field(ge=100, le=60_000)] = 3_000
+    suspicion_ms: Annotated[int, Field(ge=100, le=60_000)] = 3_000
+    exchange_ms: Annotated[int, Field(ge=50, le=60_000)] = 1_000
+
+
+@dataclass(frozen=True)
+class TlsSettings:
+    """Certificate and key of the peer listener, and the authority that signs peers."""
+
+    __pydantic_config__ = STRICT
+
+    certificate_file: Path
+    key_file: Path
+    authority_file: Path
+
+
+@dataclass(frozen=True)
+class NodeSettings:
+    """All settings of one node."""
+
+    __pydantic_config__ = STRICT
+
+    instance_id: Name
+    region: Name
+    failure_domain: Name
+    roles: Annotated[tuple[Role, ...], Field(min_length=1, max_length=2)]
+    host: IPvAnyAddress
+    front_port: Port
+    admin_port: Port
+    peer_port: Port
+    fleet: FleetSettings
+    announcement_tokens_file: Path
+    control: ControlSettings | None = None
+    tls: TlsSettings | None = None
+    directory_ttl_ms: Annotated[int, Field(ge=100, le=600_000)] = 5_000
+    directory_count: Annotated[int, Field(ge=1, le=100)] = 4
+    report_ms: Annotated[int, Field(ge=50, le=60_000)] = 500
+    announcement_ttl_ms: Annotated[int, Field(ge=200, le=60_000)] = 2_500
+    idempotency_retention_ms: Annotated[int, Field(ge=1_000, le=86_400_000)] = 600_000
+    roster_settle_ms: Annotated[int, Field(ge=100, le=600_000)] = 3_000
+
+    @property
+    def front_address(self) -> str:
+        """Address for callers, `host:port`."""
+        return f"{self.host}:{self.front_port}"
+
+    @property
+    def admin_address(self) -> str:
+        """Address for backend servers and operators, `host:port`."""
+        return f"{self.host}:{self.admin_port}"
+
+    @property
+    def peer_address(self) -> str:
+        """Address for other nodes, `host:port`."""
+        return f"{self.host}:{self.peer_port}"
+
+
+_settings_adapter = TypeAdapter(NodeSettings)
+
+
+def load_settings(path: Path) -> NodeSettings:
+    """Read and check a settings file; relative paths in it are relative to the file.
+
+    Raises `SettingsError` that names file, line, key and remedy.
+    """
+    text = _read_text(path)
+    try:
+        parsed = parse(text)
+    except JsonWithCommentsError as error:
+        place = f"{path}" if error.line is None else f"{path}, line {error.line}"
+        raise SettingsError(
+            f"{place}: {error}.", remedy="correct the JSON at this place"
+        ) from error
+    settings = check_fields(_settings_adapter, parsed, str(path), SettingsError)
+    _check_roles(settings, path)
+    return settings
+
+
+def _read_text(path: Path) -> str:
+    try:
+        return path.read_text(encoding="utf-8")
+    except OSError as error:
+        raise SettingsError(
+            f"{path}: cannot be read ({error.strerror}).",
+            remedy="check the path and its permissions",
+        ) from error
+    except UnicodeDecodeError as error:
+        raise SettingsError(
+            f"{path}: the file is not UTF-8.", remedy="save it as UTF-8"
+        ) from error
+
+
+def _check_roles(settings: NodeSettings, path: Path) -> None:
+    if Role.CONTROL in settings.roles and settings.control is None:
+        raise SettingsError(
+            f"{path}: key control: role control is given without its settings.",
+            remedy="add the object control, or remove the role",
+        )
--- /dev/null
+++ b/packages/cardamomrun-bench/src/cardamomrun_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in backend server, load tool, experiments and capacity slopes."""
--- /dev/null
+++ b/packages/cardamomrun-control/src/cardamomrun_control/__init__.py
@@ -0,0 +1,1 @@
+"""Control state: durable log, agreement, audit trail, operators interface."""
--- /dev/null
+++ b/packages/cardamomrun-fleet/src/cardamomrun_fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Peer links, record store, dissemination and membership."""
--- /dev/null
+++ b/packages/cardamomrun-node/src/cardamomrun_node/__init__.py
@@ -0,0 +1,1 @@
+"""The node binary."""
--- /dev/null
+++ b/packages/cardamomrun-operators/src/cardamomrun_operators/__init__.py
@@ -0,0 +1,1 @@
+"""Command line of the operators and the demonstration."""
--- /dev/null
+++ b/packages/cardamomrun-requests/src/cardamomrun_requests/__init__.py
@@ -0,0 +1,1 @@
+"""The request path: front door, upstream connections, limits, retries, claims."""
