Add claim, quarantine and leadership interfaces

Cause: the request path, claims and control are written side by side. Ruled out: passing callables between packages, which hides the contract. Change: protocols and tagged claim results in cardamomrun_base.interfaces. Conclusion: no package needs to import another's internals.

--- a/packages/cardamomrun-base/src/cardamomrun_base/codec.py
+++ b/packages/cardamomrun-base/src/cardamomrun_base/codec.py
@@ -1,6 +1,5 @@
 """CBOR encoding of frozen data classes, checked on arrival by pydantic."""
 
-from collections.abc import Hashable
 from dataclasses import fields
 from functools import cache
 from typing import Any
@@ -45,7 +44,7 @@
 
 
 @cache
-def _adapter(cls: Hashable) -> TypeAdapter:
+def _adapter(cls: Any) -> TypeAdapter:
     return TypeAdapter(cls)
 
 
@@ -60,7 +59,7 @@
     Fields are encoded by position, since the nodes' budget for control traffic is
     6 KB/s and field names would double a message.
     """
-    cls = type(value)
+    cls: Any = type(value)
     body = _adapter(cls).dump_python(value)
     items = [body[name] for name in _field_names(cls)]
     return cbor2.dumps([_names_by_type[cls], items])
@@ -74,7 +73,7 @@
     """
     try:
         name, items = cbor2.loads(data)
-        cls = _types_by_name[name]
+        cls: Any = _types_by_name[name]
         body = dict(zip(_field_names(cls), items, strict=False))
         return _adapter(cls).validate_python(body)
     except (ValueError, TypeError, KeyError, ValidationError, cbor2.CBORError) as error:
--- a/packages/cardamomrun-base/src/cardamomrun_base/interfaces.py
+++ b/packages/cardamomrun-base/src/cardamomrun_base/interfaces.py
@@ -18,14 +18,25 @@
 )
 
 __all__ = [
+    "AlreadyDone",
     "Attempt",
     "AttemptResult",
     "Backends",
+    "ClaimKey",
+    "ClaimResult",
+    "Claims",
     "Environment",
     "Environments",
     "Fleet",
+    "KeyMismatch",
+    "Leadership",
+    "NoQuorum",
+    "Quarantine",
     "RecordStore",
     "ServiceView",
+    "StillRunning",
+    "UnknownEnd",
+    "Won",
 ]
 
 
@@ -158,3 +169,98 @@
 
     def view(self, environment: EnvironmentId) -> ServiceView:
         """Return the state of all backend servers of an environment."""
+
+
+@dataclass(frozen=True)
+class ClaimKey:
+    """An idempotency key in its scope; the hashes are hexadecimal.
+
+    `request_hash` covers method, path, query and body.
+    """
+
+    key_hash: str
+    request_hash: str
+
+
+@dataclass(frozen=True)
+class Won:
+    """The attempt may run; its first byte must leave before `start_before_ms`."""
+
+    key: ClaimKey
+    attempt_id: str
+    start_before_ms: float
+
+
+@dataclass(frozen=True)
+class AlreadyDone:
+    """An earlier attempt with this key was run and answered with `status`."""
+
+    status: int
+
+
+@dataclass(frozen=True)
+class StillRunning:
+    """An earlier attempt with this key has not ended yet."""
+
+
+@dataclass(frozen=True)
+class UnknownEnd:
+    """It is not known whether an earlier attempt with this key was run."""
+
+
+@dataclass(frozen=True)
+class KeyMismatch:
+    """The key was used for a different request."""
+
+
+@dataclass(frozen=True)
+class NoQuorum:
+    """Too few keepers answered; the request must not run now."""
+
+
+ClaimResult = Won | AlreadyDone | StillRunning | UnknownEnd | KeyMismatch | NoQuorum
+
+
+class Claims(Protocol):
+    """Claims of idempotency keys (`cardamomrun_requests.claims`)."""
+
+    async def claim(self, key: ClaimKey) -> ClaimResult:
+        """Reserve a key for one attempt at a quorum of its keepers."""
+
+    async def settle_done(self, won: Won, status: int) -> None:
+        """Tell the keepers that the request was run and answered."""
+
+    async def settle_unknown(self, won: Won) -> None:
+        """Tell the keepers that bytes of the request left and no whole answer came."""
+
+    async def release(self, won: Won) -> None:
+        """Give the key back; allowed only if the request was not run."""
+
+
+class Quarantine(Protocol):
+    """Requests that crash backend servers (`cardamomrun_requests.quarantine`)."""
+
+    def is_quarantined(self, environment: EnvironmentId, fingerprint: str) -> bool:
+        """Return True if requests with this fingerprint must not run now."""
+
+    async def connection_died(self, attempt: Attempt, fingerprint: str) -> bool:
+        """Find out whether the server died of this request; True if a death counted.
+
+        Called when a connection ended between the first request byte and the end of
+        the answer head. Opens a fresh connection to tell a dead server from a dead
+        connection.
+        """
+
+
+class Leadership(Protocol):
+    """Whether this control instance leads (`cardamomrun_control.agreement`)."""
+
+    @property
+    def term(self) -> int:
+        """The current term."""
+
+    def holds_lease(self) -> bool:
+        """Return True while no other instance can lead."""
+
+    def lease_held_since_ms(self) -> float:
+        """Return when this instance's current leader lease began, monotonic ms."""
