--- /dev/null
+++ b/demo/drive.py
@@ -0,0 +1,163 @@
+"""Drives the demonstration: python demo/drive.py FOLDER NAME=PID..."""
+
+import asyncio
+import os
+import signal
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+from cardamomrun_base.errors import CardamomrunError
+from cardamomrun_base.http_client import CallAnswer, call
+from cardamomrun_operators.main import main as run_command
+
+ENTRY_ADMIN = {"entry-1": "127.20.0.11:18081", "entry-2": "127.20.0.12:18081"}
+CONTROL_ADMIN = "127.20.0.1:18081"
+FRONT_OF_ENTRY_1 = "127.20.0.11:18080"
+FRONT_OF_ENTRY_2 = "127.20.0.12:18080"
+HOST = "rota-desk.example"
+STEP_TIMEOUT_S = 30
+SERVERS_PATH = "/v1/environments/rota-desk/production/servers"
+
+
+class Demonstration:
+    """The steps, each of which prints what it saw."""
+
+    def __init__(self, folder: Path, pids: dict[str, int]) -> None:
+        self._folder = folder
+        self._pids = pids
+        self._step_count = 0
+
+    def say(self, sentence: str) -> None:
+        """Print one numbered step."""
+        self._step_count += 1
+        print(f"{self._step_count:2}. {sentence}", flush=True)
+
+    async def run(self) -> None:
+        """Run all steps; any that fails raises."""
+        await self._start()
+        await self._operate()
+        await self._serve()
+        await self._claim_once()
+        await self._lose_backend_server()
+        await self._stop_gracefully()
+
+    async def _start(self) -> None:
+        for address in (CONTROL_ADMIN, *ENTRY_ADMIN.values()):
+            await _until(lambda a=address: _answers(f"http://{a}/v1/status"))
+        self.say("one control instance and two entry instances run")
+
+    async def _operate(self) -> None:
+        document = str(self._folder / "rota-desk.jsonc")
+        await self._command("check", document)
+        await self._command("apply", document)
+        self.say("the document was checked and put in force in the trial environment")
+        await self._command("promote", "rota-desk")
+        self.say("exactly its bytes were promoted to production")
+
+    async def _serve(self) -> None:
+        await _until(lambda: _healthy_count(2))
+        self.say("two backend servers announced themselves")
+        addresses = await _until(lambda: _addresses(2))
+        self.say(f"a caller asked which addresses to use: {', '.join(addresses)}")
+        answer = await _request(addresses[0], "GET", "/rota")
+        _expect(answer, 200, "done")
+        self.say(f"it got the whole answer, run by {answer.body['server_id']}")
+
+    async def _claim_once(self) -> None:
+        key = {"Idempotency-Key": "demo-slot-1"}
+        first = await _until(lambda: _confirmed(key))
+        again = await _request(FRONT_OF_ENTRY_2, "POST", "/confirmations", key)
+        _expect(again, 409, "done")
+        self.say(
+            f"a confirmation ran once on {first.body['server_id']}; its resend "
+            "through the other entry instance was answered without running it again"
+        )
+
+    async def _lose_backend_server(self) -> None:
+        os.kill(self._pids["backend-1"], signal.SIGKILL)
+        started = time.monotonic()
+        for _ in range(20):
+            answer = await _request(FRONT_OF_ENTRY_2, "GET", "/rota")
+            _expect(answer, 200, "done")
+        self.say("backend-1 was killed; 20 requests in a row were still answered")
+        await _until(lambda: _healthy_count(1))
+        elapsed_s = time.monotonic() - started
+        self.say(f"{elapsed_s:.1f} s after the kill no instance lists it any more")
+
+    async def _stop_gracefully(self) -> None:
+        os.kill(self._pids["entry-1"], signal.SIGTERM)
+        await _until(lambda: _addresses(1))
+        self.say("entry-1 got SIGTERM and left the callers' answer first")
+        for name in ("entry-2", "control-1", "backend-2"):
+            os.kill(self._pids[name], signal.SIGTERM)
+        self.say("the other processes got SIGTERM")
+
+    async def _command(self, *words: str) -> None:
+        settings = str(self._folder / "cardamomrun.jsonc")
+        sys.argv = ["cardamomrun", f"--settings={settings}", *words]
+        print(f"    $ cardamomrun {' '.join(words)}", flush=True)
+        await asyncio.to_thread(run_command)
+
+
+async def _until(probe: Any) -> Any:
+    deadline = time.monotonic() + STEP_TIMEOUT_S
+    while time.monotonic() < deadline:
+        try:
+            result = await probe()
+        except CardamomrunError:
+            result = None
+        if result:
+            return result
+        await asyncio.sleep(0.1)
+    raise SystemExit(f"no success within {STEP_TIMEOUT_S} s")
+
+
+async def _answers(url: str) -> bool:
+    return (await call("GET", url)).status == 200
+
+
+async def _healthy_count(count: int) -> bool:
+    for address in ENTRY_ADMIN.values():
+        answer = await call(
+            "GET",
+            f"http://{address}{SERVERS_PATH}",
+            token="demonstration-rota-desk-token",
+        )
+        if len(answer.body["healthy"]) != count:
+            return False
+    return True
+
+
+async def _addresses(count: int) -> list[str] | None:
+    url = f"http://{FRONT_OF_ENTRY_2}/.cardamomrun/addresses"
+    addresses = (await call("GET", url)).body["addresses"]
+    return addresses if len(addresses) == count else None
+
+
+async def _confirmed(headers: dict[str, str]) -> CallAnswer | None:
+    answer = await _request(FRONT_OF_ENTRY_1, "POST", "/confirmations", headers)
+    return answer if answer.status == 200 else None
+
+
+async def _request(
+    address: str, method: str, path: str, headers: dict[str, str] | None = None
+) -> CallAnswer:
+    body = {"slot": 1} if method == "POST" else None
+    all_headers = {"Host": HOST, **(headers or {})}
+    return await call(method, f"http://{address}{path}", body=body, headers=all_headers)
+
+
+def _expect(answer: CallAnswer, status: int, outcome: str) -> None:
+    if answer.status != status:
+        raise SystemExit(f"expected {status} ({outcome}), got {answer}")
+
+
+def _parse_pids(words: list[str]) -> dict[str, int]:
+    pairs = (word.split("=") for word in words)
+    return {name: int(pid) for name, pid in pairs}
+
+
+if __name__ == "__main__":
+    asyncio.run(Demonstration(Path(sys.argv[1]), _parse_pids(sys.argv[2:])).run())
--- a/packages/cardamomrun-base/src/cardamomrun_base/errors.py
+++ b/packages/cardamomrun-base/src/cardamomrun_base/errors.py
@@ -1,6 +1,7 @@
 """Typed errors. Each message names the remedy."""
 
 __all__ = [
+    "AddressInUseError",
     "CardamomrunError",
     "ConflictError",
     "CredentialError",
@@ -11,6 +12,7 @@
     "SettingsError",
     "StorageError",
     "UnavailableError",
+    "UsageError",
 ]
 
 EXIT_FAILURE = 1
@@ -43,6 +45,13 @@
         return f"{self.message} Remedy: {self.remedy}"
 
 
+class UsageError(CardamomrunError):
+    """A command was called with wrong arguments."""
+
+    kind = "usage"
+    exit_code = EXIT_USAGE
+
+
 class SettingsError(CardamomrunError):
     """The settings file of a node is unreadable or wrong."""
 
--- /dev/null
+++ b/packages/cardamomrun-base/src/cardamomrun_base/http_client.py
@@ -0,0 +1,76 @@
+"""HTTP calls to admin listeners with tornado's curl client.
+
+Not for the request path: libcurl resends a POST by itself on a reused connection that
+closes before an answer byte. The calls made here are idempotent by contract.
+"""
+
+import json
+from dataclasses import dataclass
+from typing import Any
+
+import pycurl
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+from tornado.httpclient import HTTPRequest, HTTPResponse
+
+from cardamomrun_base.clock import MS_PER_S
+from cardamomrun_base.errors import UnavailableError
+
+__all__ = ["CallAnswer", "call"]
+
+CONNECT_TIMEOUT_MS = 1_000
+
+
+@dataclass(frozen=True)
+class CallAnswer:
+    """An HTTP answer; `body` is the decoded JSON, or the text if it is not JSON."""
+
+    status: int
+    body: Any
+
+
+async def call(
+    method: str,
+    url: str,
+    *,
+    body: Any = None,
+    token: str | None = None,
+    headers: dict[str, str] | None = None,
+    timeout_ms: int = 5_000,
+) -> CallAnswer:
+    """Send a request with an optional JSON body and return the answer, whatever its status.
+
+    Raises `UnavailableError` if no answer came within `timeout_ms`.
+    """
+    all_headers = {"Content-Type": "application/json", **(headers or {})}
+    if token is not None:
+        all_headers["Authorization"] = f"Bearer {token}"
+    request = HTTPRequest(
+        url,
+        method=method,
+        headers=all_headers,
+        body=None if body is None else json.dumps(body),
+        allow_nonstandard_methods=True,
+        connect_timeout=min(CONNECT_TIMEOUT_MS, timeout_ms) / MS_PER_S,
+        request_timeout=timeout_ms / MS_PER_S,
+        follow_redirects=False,
+        prepare_curl_callback=_ignore_proxy_variables,
+    )
+    response = await CurlAsyncHTTPClient().fetch(request, raise_error=False)
+    return _answer(url, response)
+
+
+def _ignore_proxy_variables(curl: Any) -> None:
+    curl.setopt(pycurl.NOPROXY, "*")
+
+
+def _answer(url: str, response: HTTPResponse) -> CallAnswer:
+    if response.code == 599:
+        raise UnavailableError(
+            f"{url} gave no answer: {response.error}.",
+            remedy="check that the node runs and that the address is right",
+        )
+    text = response.body.decode("utf-8", "replace") if response.body else ""
+    try:
+        return CallAnswer(response.code, json.loads(text))
+    except ValueError:
+        return CallAnswer(response.code, text)
--- a/packages/cardamomrun-base/src/cardamomrun_base/settings.py
+++ b/packages/cardamomrun-base/src/cardamomrun_base/settings.py
@@ -1,9 +1,9 @@
 """Settings of a node, read from one file of JSON with comments."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, fields, replace
 from enum import StrEnum
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Any
 
 from pydantic import ConfigDict, Field, IPvAnyAddress, TypeAdapter
 
@@ -148,7 +148,7 @@
         ) from error
     settings = check_fields(_settings_adapter, parsed, str(path), SettingsError)
     _check_roles(settings, path)
-    return settings
+    return _with_absolute_paths(settings, path.resolve().parent)
 
 
 def _read_text(path: Path) -> str:
@@ -165,6 +165,23 @@
         ) from error
 
 
+def _with_absolute_paths(settings: NodeSettings, folder: Path) -> NodeSettings:
+    tls = settings.tls and _paths_below(settings.tls, folder)
+    control = settings.control and _paths_below(settings.control, folder)
+    fleet = _paths_below(settings.fleet, folder)
+    settings = _paths_below(settings, folder)
+    return replace(settings, tls=tls, control=control, fleet=fleet)
+
+
+def _paths_below(part: Any, folder: Path) -> Any:
+    paths = {
+        field.name: folder / getattr(part, field.name)
+        for field in fields(part)
+        if isinstance(getattr(part, field.name), Path)
+    }
+    return replace(part, **paths)
+
+
 def _check_roles(settings: NodeSettings, path: Path) -> None:
     if Role.CONTROL in settings.roles and settings.control is None:
         raise SettingsError(
--- /dev/null
+++ b/packages/cardamomrun-base/tests/test_codec.py
@@ -0,0 +1,43 @@
+"""Messages survive the wire, and foreign bytes are refused."""
+
+import cbor2
+import pytest
+
+from cardamomrun_base.codec import CodecError, decode, encode
+from cardamomrun_base.documents import load_document
+from cardamomrun_base.messages import Settled
+from cardamomrun_base.model import Kind, LeaderBody, Record
+
+BAD_BYTES = [
+    ("empty", b""),
+    ("not CBOR", b"\xff\xff\xff"),
+    ("unknown name", cbor2.dumps(["nobody", []])),
+    ("missing fields", cbor2.dumps(["leader", ["a"]])),
+    ("wrong type", cbor2.dumps(["leader", ["a", "x", "b", "c"]])),
+    ("not a list", cbor2.dumps(7)),
+]
+
+
+def test_a_record_survives_the_wire():
+    """Guards against fields that change place or type in transit."""
+    body = LeaderBody("control-1", 3, "127.0.0.1:1", "127.0.0.1:2")
+    record = Record.of(Kind.LEADER, "control", "control-1", (3, 1), body)
+    arrived = decode(encode(record))
+    assert arrived == record
+    assert arrived.content == body
+    assert decode(encode(Settled())) == Settled()
+
+
+def test_a_checked_document_survives_the_wire():
+    """Guards against entry instances that run another document than control checked."""
+    document = load_document(
+        b'{"service": "s", "hosts": ["h"], "routes": [{"prefix": "/"}]}', "s"
+    )
+    assert decode(encode(document)) == document
+
+
+@pytest.mark.parametrize(("case", "data"), BAD_BYTES)
+def test_foreign_bytes_are_a_typed_error(case, data):
+    """Guards against a peer that ends a task with an untyped exception."""
+    with pytest.raises(CodecError):
+        decode(data)
--- /dev/null
+++ b/packages/cardamomrun-operators/src/cardamomrun_operators/commands.py
@@ -0,0 +1,234 @@
+"""Commands of the operators' command line."""
+
+import asyncio
+import base64
+import difflib
+import time
+from collections.abc import Awaitable
+from pathlib import Path
+from typing import Any
+
+from cardamomrun_base.clock import SystemClock
+from cardamomrun_base.documents import document_digest, load_document, read_document
+from cardamomrun_base.errors import ConflictError, UsageError
+from cardamomrun_base.http_client import call
+from cardamomrun_base.model import Stage
+from cardamomrun_operators.control_client import ControlClient
+from cardamomrun_operators.output import render
+from cardamomrun_operators.settings import DEFAULT_PATH, load_operator_settings
+
+__all__ = ["Commands"]
+
+
+class Commands:
+    """Operate a cardamomrun fleet: one document per environment.
+
+    All commands take --json for machine-readable output. Commands that speak to
+    control take --settings FILE (default cardamomrun.jsonc). Exit codes are listed in
+    docs/interfaces.md.
+    """
+
+    def __init__(self, settings: str = DEFAULT_PATH, json: bool = False) -> None:
+        self._settings_path = settings
+        self._json = json
+
+    def check(self, document: str) -> None:
+        """Check a document without sending it.
+
+        Example: cardamomrun check rota-desk.jsonc
+        """
+        data = read_document(Path(document))
+        checked = load_document(data, document)
+        self._print(
+            {
+                "service": checked.service,
+                "digest": document_digest(data),
+                "route_count": len(checked.routes),
+                "profile": str(checked.profile),
+            }
+        )
+
+    def diff(self, document: str, stage: str = "trial") -> None:
+        """Show what a document would change in a stage.
+
+        Example: cardamomrun diff rota-desk.jsonc --stage production
+        """
+        data = read_document(Path(document))
+        service = load_document(data, document).service
+        current = self._call("GET", _environment_path(service, stage))
+        before = base64.b64decode(current.get("document") or "").decode()
+        lines = difflib.unified_diff(
+            before.splitlines(),
+            data.decode().splitlines(),
+            f"{service}/{stage} version {current.get('version', 0)}",
+            document,
+            lineterm="",
+        )
+        text = "\n".join(lines)
+        if self._json:
+            self._print({"differs": bool(text), "diff": text})
+        else:
+            print(text or "no difference")
+
+    def apply(
+        self,
+        document: str,
+        expect: int | None = None,
+        change: int | None = None,
+    ) -> None:
+        """Put a document in force in the trial environment of its service.
+
+        --expect is the version that must be current (default: the one read now);
+        --change is the change number; repeat a command whose answer was lost with the
+        same one.
+
+        Example: cardamomrun apply rota-desk.jsonc --expect 3 --change 20261204001
+        """
+        data = read_document(Path(document))
+        service = load_document(data, document).service
+        path = _environment_path(service, Stage.TRIAL)
+        body = {
+            "document": base64.b64encode(data).decode(),
+            **self._change(path, expect, change),
+        }
+        self._print(self._call("POST", f"{path}/apply", body))
+
+    def promote(
+        self,
+        service: str,
+        digest: str | None = None,
+        expect: int | None = None,
+        change: int | None = None,
+    ) -> None:
+        """Put exactly the bytes that the trial environment runs in force in production.
+
+        --digest names the bytes (default: those that the trial runs now).
+
+        Example: cardamomrun promote rota-desk --digest 5f2c...
+        """
+        if digest is None:
+            trial = self._call("GET", _environment_path(service, Stage.TRIAL))
+            digest = trial.get("digest")
+        path = _environment_path(service, Stage.PRODUCTION)
+        body = {"digest": str(digest), **self._change(path, expect, change)}
+        self._print(self._call("POST", f"{path}/promote", body))
+
+    def rollback(
+        self,
+        service: str,
+        to_version: int,
+        stage: str = "production",
+        expect: int | None = None,
+        change: int | None = None,
+    ) -> None:
+        """Put the bytes of an earlier version in force as a new, higher version.
+
+        Example: cardamomrun rollback rota-desk --to-version 4
+        """
+        path = _environment_path(service, stage)
+        body = {"to_version": to_version, **self._change(path, expect, change)}
+        self._print(self._call("POST", f"{path}/rollback", body))
+
+    def show(self, service: str, stage: str = "production") -> None:
+        """Print the current document of an environment, byte for byte.
+
+        Example: cardamomrun show rota-desk --stage trial
+        """
+        current = self._call("GET", _environment_path(service, stage))
+        if self._json:
+            self._print(current)
+        else:
+            text = base64.b64decode(current.get("document") or "").decode()
+            print(text, end="")
+
+    def history(self, service: str, stage: str = "production") -> None:
+        """List the versions of an environment.
+
+        Example: cardamomrun history rota-desk --stage trial --json
+        """
+        path = f"{_environment_path(service, stage)}/history"
+        self._print(self._call("GET", path))
+
+    def status(self) -> None:
+        """Show which versions are in force on how many instances, and who is behind.
+
+        Example: cardamomrun status
+        """
+        self._print(self._call("GET", "/v1/in-force"))
+
+    def control(self) -> None:
+        """Show the control instances and whether it is safe to take one away.
+
+        Example: cardamomrun control
+        """
+        self._print(self._call("GET", "/v1/control"))
+
+    def voters(self, action: str, instance_id: str, peer_address: str = "") -> None:
+        """Add or remove one control instance (action: add or remove).
+
+        Example: cardamomrun voters add control-4 10.0.0.14:7000
+        """
+        body = {
+            "action": action,
+            "instance_id": instance_id,
+            "peer_address": peer_address,
+            "change_number": _new_change_number(),
+        }
+        self._print(self._call("POST", "/v1/control/voters", body))
+
+    def audit(self, start: int = 1) -> None:
+        """Print the audit trail from an entry on, and verify its chain.
+
+        Example: cardamomrun audit --start 100 --json
+        """
+        answer = self._call("GET", f"/v1/audit?from={start}")
+        self._print(answer)
+        if answer.get("chain") not in (None, "intact"):
+            raise ConflictError(
+                f"the audit chain is {answer['chain']}.",
+                remedy="compare with another control instance before trusting either",
+            )
+
+    def addresses(self, entry: str, failure_domain: str = "") -> None:
+        """Ask an entry instance which addresses a caller should use.
+
+        Example: cardamomrun addresses 10.0.0.21:8080 --failure-domain kelowna-a
+        """
+        url = f"http://{entry}/.cardamomrun/addresses"
+        if failure_domain:
+            url += f"?failure_domain={failure_domain}"
+        self._print(self._await(call("GET", url)).body)
+
+    def _change(
+        self, path: str, expect: int | None, change: int | None
+    ) -> dict[str, int]:
+        if expect is None:
+            expect = int(self._call("GET", path).get("version", 0))
+        number = _new_change_number() if change is None else change
+        return {"expected_version": expect, "change_number": number}
+
+    def _call(self, method: str, path: str, body: Any = None) -> Any:
+        settings = load_operator_settings(Path(self._settings_path))
+        client = ControlClient(settings, SystemClock())
+        return self._await(client.call(method, path, body))
+
+    def _await(self, awaitable: Awaitable[Any]) -> Any:
+        async def wait() -> Any:
+            return await awaitable
+
+        return asyncio.run(wait())
+
+    def _print(self, value: Any) -> None:
+        print(render(value, self._json))
+
+
+def _environment_path(service: str, stage: str) -> str:
+    if stage not in tuple(Stage):
+        raise UsageError(
+            f"stage {stage!r} is not known.", remedy="use trial or production"
+        )
+    return f"/v1/environments/{service}/{stage}"
+
+
+def _new_change_number() -> int:
+    return time.time_ns() // 1_000
--- /dev/null
+++ b/packages/cardamomrun-operators/src/cardamomrun_operators/control_client.py
@@ -0,0 +1,113 @@
+"""Calls to the operators' interface of the control instances."""
+
+from typing import Any
+
+from cardamomrun_base.clock import Clock
+from cardamomrun_base.errors import (
+    CardamomrunError,
+    ConflictError,
+    CredentialError,
+    DocumentError,
+    UnavailableError,
+)
+from cardamomrun_base.http_client import CallAnswer, call
+from cardamomrun_operators.settings import OperatorSettings
+
+__all__ = ["ControlClient", "RefusedError"]
+
+RETRY_PAUSE_MS = 300
+MISDIRECTED_STATUS = 421
+UNAVAILABLE_STATUSES = (503, 504)
+
+
+class RefusedError(CardamomrunError):
+    """Control refused the call."""
+
+    kind = "refused"
+    exit_code = 6
+
+
+_ERROR_TYPES: dict[int, type[CardamomrunError]] = {
+    401: CredentialError,
+    403: CredentialError,
+    409: ConflictError,
+    422: DocumentError,
+}
+
+
+class ControlClient:
+    """Finds the leading control instance and repeats calls whose answer was lost.
+
+    Repeating is safe: a change is named by operator and change number, and a resend
+    gets the first answer again.
+    """
+
+    def __init__(self, settings: OperatorSettings, clock: Clock) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._token = settings.token()
+
+    async def call(self, method: str, path: str, body: Any = None) -> Any:
+        """Return the JSON of a successful answer, or raise a typed error."""
+        deadline_ms = self._clock.now_ms() + self._settings.timeout_ms
+        addresses = list(self._settings.control)
+        last_error = UnavailableError(
+            "no control instance answered.",
+            remedy="check the addresses in the settings and that the nodes run",
+        )
+        while self._clock.now_ms() < deadline_ms:
+            address = addresses.pop(0)
+            addresses.append(address)
+            try:
+                answer = await self._call_one(address, method, path, body)
+            except UnavailableError as error:
+                last_error = error
+                await self._clock.sleep_ms(RETRY_PAUSE_MS)
+                continue
+            if answer.status < 300:
+                return answer.body
+            if answer.status == MISDIRECTED_STATUS:
+                await self._follow_leader(answer, addresses)
+                continue
+            if answer.status not in UNAVAILABLE_STATUSES:
+                raise _refusal(answer)
+            last_error = _unavailable(answer)
+            await self._clock.sleep_ms(RETRY_PAUSE_MS)
+        raise last_error
+
+    async def _call_one(
+        self, address: str, method: str, path: str, body: Any
+    ) -> CallAnswer:
+        return await call(
+            method,
+            f"http://{address}{path}",
+            body=body,
+            token=self._token,
+            timeout_ms=max(1_000, self._settings.timeout_ms // 3),
+        )
+
+    async def _follow_leader(self, answer: CallAnswer, addresses: list[str]) -> None:
+        body = answer.body if isinstance(answer.body, dict) else {}
+        leader = body.get("leader_admin_address")
+        if not leader:
+            await self._clock.sleep_ms(RETRY_PAUSE_MS)
+            return
+        if leader in addresses:
+            addresses.remove(leader)
+        addresses.insert(0, leader)
+
+
+def _refusal(answer: CallAnswer) -> CardamomrunError:
+    body = answer.body if isinstance(answer.body, dict) else {}
+    error_type = _ERROR_TYPES.get(answer.status, RefusedError)
+    message = body.get("message", f"control answered {answer.status}.")
+    remedy = body.get("remedy", "see the log of the control instance")
+    return error_type(message, remedy=remedy)
+
+
+def _unavailable(answer: CallAnswer) -> UnavailableError:
+    body = answer.body if isinstance(answer.body, dict) else {}
+    return UnavailableError(
+        body.get("message", f"control answered {answer.status}."),
+        remedy=body.get("remedy", "repeat the command with the same --change"),
+    )
