--- a/packages/cardamomrun-bench/src/cardamomrun_bench/backend_server.py
+++ b/packages/cardamomrun-bench/src/cardamomrun_bench/backend_server.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import contextlib
 import hashlib
 import json
 import os
@@ -21,7 +22,7 @@
 from tornado.iostream import StreamClosedError
 from tornado.web import Application, RequestHandler, stream_request_body
 
-from cardamomrun_base.clock import Clock, SystemClock
+from cardamomrun_base.clock import MS_PER_S, Clock, SystemClock
 from cardamomrun_base.errors import CardamomrunError, UnavailableError
 from cardamomrun_base.headers import NOT_RUN, REQUEST_ID, RETRY_AFTER
 from cardamomrun_base.http_client import call
@@ -138,8 +139,8 @@
             return FaultMode.NONE
         return faults.mode
 
-    async def work(self, slow: bool) -> None:
-        """Hold a slot for the service time of one request."""
+    async def work(self, slow: bool, left: asyncio.Event) -> None:
+        """Hold a slot for the service time of one request, or until its caller left."""
         mean_ms = self.settings.service_time_ms
         duration_ms = mean_ms
         if self.settings.exponential:
@@ -147,7 +148,8 @@
         if slow:
             duration_ms *= self.faults.slow_factor
         async with self._slots:
-            await self._clock.sleep_ms(duration_ms)
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(left.wait(), duration_ms / MS_PER_S)
 
     def is_full(self) -> bool:
         """Return True if slots and queue are taken, so that a request must be shed."""
@@ -262,7 +264,7 @@
         if fault == FaultMode.SILENT:
             await self._left.wait()
             return None
-        await backend.work(slow=fault == FaultMode.SLOW)
+        await backend.work(fault == FaultMode.SLOW, self._left)
         if fault == FaultMode.FAIL:
             return self.set_status(500)
         if fault == FaultMode.CUT:
--- /dev/null
+++ b/packages/cardamomrun-bench/tests/test_backend_server.py
@@ -0,0 +1,106 @@
+"""The stand-in backend server misbehaves as told, and the caller notices."""
+
+import asyncio
+import hashlib
+import json
+import socket
+from dataclasses import replace
+
+import pytest
+
+from cardamomrun_base.clock import SystemClock
+from cardamomrun_bench.backend_server import BackendServer, BackendServerSettings
+from cardamomrun_bench.caller import Caller, CallerError
+from cardamomrun_bench.faults import FaultMode, Faults
+from cardamomrun_bench.load import LoadPlan, run_load
+
+
+def _free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def _settings(**changes) -> BackendServerSettings:
+    settings = BackendServerSettings(
+        service="rota-desk",
+        stage="production",
+        server_id="b1",
+        failure_domain="kelowna-a",
+        host="127.0.0.1",
+        port=_free_port(),
+        service_time_ms=1,
+        drain_ms=0,
+    )
+    return replace(settings, **changes)
+
+
+async def _ask(settings, method="GET", body=b"", timeout_ms=2_000):
+    server = BackendServer(settings, SystemClock())
+    server.start()
+    address = f"{settings.host}:{settings.port}"
+    caller = Caller(timeout_ms)
+    try:
+        headers = {"Execution-Id": "e1"}
+        answer = await caller.request(address, method, "/x", headers, body)
+        return server, answer
+    finally:
+        caller.close()
+        await server.stop()
+
+
+STATUSES = [
+    (FaultMode.NONE, 200),
+    (FaultMode.FAIL, 500),
+    (FaultMode.SLOW, 200),
+    (FaultMode.SHED, 503),
+    (FaultMode.NOT_RUN, 503),
+]
+
+
+@pytest.mark.parametrize(("mode", "status"), STATUSES)
+def test_fault_modes_with_an_answer(mode, status):
+    """Guards against experiments on a fault that never happened."""
+    settings = _settings(faults=Faults(mode=mode, slow_factor=2))
+    _, answer = asyncio.run(_ask(settings))
+    assert answer.status == status
+
+
+@pytest.mark.parametrize(
+    "mode", [FaultMode.CUT, FaultMode.CLOSE_EARLY, FaultMode.SILENT]
+)
+def test_fault_modes_without_a_whole_answer(mode):
+    """Guards against a caller that takes a cut answer for a whole one."""
+    settings = _settings(faults=Faults(mode=mode))
+    with pytest.raises(CallerError):
+        asyncio.run(_ask(settings, timeout_ms=300))
+
+
+def test_the_answer_proves_what_arrived():
+    """Guards against load runs that cannot tell whose answer they got."""
+    body = b"petals" * 1_000
+    server, answer = asyncio.run(_ask(_settings(), "POST", body))
+    seen = json.loads(answer.body)
+    assert seen["body_sha256"] == hashlib.sha256(body).hexdigest()
+    assert seen["execution_id"] == "e1"
+    assert server.executions == {"e1": 1}
+
+
+def test_load_counts_what_it_sent():
+    """Guards against a load tool that loses requests from its result."""
+
+    async def scenario():
+        settings = _settings(slots=100)
+        server = BackendServer(settings, SystemClock())
+        server.start()
+        address = f"{settings.host}:{settings.port}"
+        plan = LoadPlan((address,), "h", 200, 0.5, write_ratio=0.5)
+        result = await run_load(plan, SystemClock())
+        await server.stop()
+        return server, result
+
+    server, result = asyncio.run(scenario())
+    assert result.statuses["200"] == result.sent_count
+    assert result.wrong_answer_count == 0
+    assert set(result.execution_ids) <= set(server.executions)
+    assert set(server.executions.values()) == {1}
--- /dev/null
+++ b/packages/cardamomrun-node/src/cardamomrun_node/main.py
@@ -0,0 +1,73 @@
+"""Entry point of the node binary."""
+
+import asyncio
+import signal
+import sys
+from pathlib import Path
+
+import fire
+
+from cardamomrun_base.clock import SystemClock
+from cardamomrun_base.errors import CardamomrunError
+from cardamomrun_base.logs import PartLog, start_logs
+from cardamomrun_base.settings import NodeSettings, load_settings
+from cardamomrun_node.node import Node
+
+__all__ = ["main"]
+
+_log = PartLog("node")
+
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
+
+class Commands:
+    """Run one node of a cardamomrun fleet."""
+
+    def run(self, settings: str) -> None:
+        """Run the node until SIGTERM; a second SIGTERM ends it at once.
+
+        Example: cardamomrun-node run --settings demo/entry-1.jsonc
+        """
+        loaded = load_settings(Path(settings))
+        start_logs(loaded.instance_id)
+        asyncio.run(_run(loaded))
+
+    def check(self, settings: str) -> None:
+        """Check a settings file without starting anything.
+
+        Example: cardamomrun-node check --settings demo/entry-1.jsonc
+        """
+        loaded = load_settings(Path(settings))
+        print(f"{settings}: settings of {loaded.instance_id} are valid")
+
+
+async def _run(settings: NodeSettings) -> None:
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in STOP_SIGNALS:
+        loop.add_signal_handler(number, stopping.set)
+    node = Node(settings, SystemClock())
+    await node.start()
+    await stopping.wait()
+    for number in STOP_SIGNALS:
+        loop.remove_signal_handler(number)
+        signal.signal(number, signal.SIG_DFL)
+    await node.stop()
+    _log.info("has stopped")
+
+
+def main() -> None:
+    """Run one command; on a typed error print it with its remedy and exit."""
+    try:
+        fire.Fire(Commands, name="cardamomrun-node")
+    except CardamomrunError as error:
+        raise SystemExit(_report(error)) from error
+
+
+def _report(error: CardamomrunError) -> int:
+    print(f"cardamomrun-node: {error}", file=sys.stderr)
+    return error.exit_code
+
+
+if __name__ == "__main__":
+    main()
