--- /dev/null
+++ b/packages/cardamomrun-fleet/src/cardamomrun_fleet/credentials.py
@@ -0,0 +1,178 @@
+"""Mutual proof that two instances hold the fleet key, without sending the key."""
+
+import hmac
+import secrets
+from collections import Counter, OrderedDict
+from dataclasses import dataclass
+from enum import StrEnum
+from pathlib import Path
+
+from cardamomrun_base.codec import message
+from cardamomrun_base.errors import CredentialError
+from cardamomrun_base.logs import PartLog
+from cardamomrun_base.model import InstanceId
+
+__all__ = [
+    "Challenge",
+    "Credentials",
+    "Hello",
+    "PeerRefusedError",
+    "Proof",
+    "Refusal",
+    "load_fleet_key",
+]
+
+NONCE_BYTES = 32
+MIN_KEY_BYTES = 16
+# Bounds the memory for replay detection; a replay of an older nonce still fails,
+# because the fresh nonce of the other side makes its proof wrong.
+SEEN_NONCE_COUNT = 4_096
+
+log = PartLog("fleet")
+
+
+class Refusal(StrEnum):
+    """Why a peer was refused."""
+
+    WRONG = "wrong"
+    MISSING = "missing"
+    REPLAYED = "replayed"
+
+
+class PeerRefusedError(CredentialError):
+    """A peer did not prove that it holds the fleet key."""
+
+    kind = "peer-refused"
+
+    def __init__(self, refusal: Refusal, peer_id: InstanceId) -> None:
+        super().__init__(
+            f"peer {peer_id or 'unknown'} refused: its proof is {refusal}.",
+            remedy="install the same fleet key on all instances",
+        )
+        self.refusal = refusal
+
+
+@message("hello")
+@dataclass(frozen=True)
+class Hello:
+    """First message of the side that opened the connection."""
+
+    instance_id: InstanceId
+    incarnation: int
+    nonce: bytes
+
+
+@message("challenge")
+@dataclass(frozen=True)
+class Challenge:
+    """Answer of the listening side."""
+
+    instance_id: InstanceId
+    incarnation: int
+    nonce: bytes
+
+
+@message("proof")
+@dataclass(frozen=True)
+class Proof:
+    """HMAC-SHA-256 over role, both identities and both nonces."""
+
+    mac: bytes
+
+
+def load_fleet_key(path: Path) -> bytes:
+    """Return the key in a file, without surrounding white space.
+
+    Raises `CredentialError` if the file is unreadable or the key is under 16 bytes.
+    """
+    try:
+        key = path.read_bytes().strip()
+    except OSError as error:
+        raise CredentialError(
+            f"{path}: the fleet key cannot be read ({error.strerror}).",
+            remedy="check the path and its permissions",
+        ) from error
+    if len(key) < MIN_KEY_BYTES:
+        raise CredentialError(
+            f"{path}: the fleet key has fewer than {MIN_KEY_BYTES} bytes.",
+            remedy="create a random key of at least 32 characters",
+        )
+    return key
+
+
+class Credentials:
+    """Makes and checks proofs; counts refusals by kind.
+
+    The opener proves first, so that a stranger never receives a MAC to work on. The
+    role is part of the MAC, so that a proof cannot be reflected to its sender.
+    """
+
+    def __init__(self, key: bytes, instance_id: InstanceId) -> None:
+        self._key = key
+        self._instance_id = instance_id
+        self._seen: OrderedDict[bytes, None] = OrderedDict()
+        self.refusal_counts: Counter[Refusal] = Counter()
+
+    def new_nonce(self) -> bytes:
+        """Return a fresh nonce; it is refused when a peer sends it back as its own."""
+        nonce = secrets.token_bytes(NONCE_BYTES)
+        self._remember(nonce)
+        return nonce
+
+    def check_nonce(self, peer_id: InstanceId, nonce: bytes) -> None:
+        """Raise `PeerRefusedError` if the nonce is malformed or was seen before."""
+        if len(nonce) != NONCE_BYTES:
+            raise self.refuse(Refusal.MISSING, peer_id)
+        if nonce in self._seen:
+            raise self.refuse(Refusal.REPLAYED, peer_id)
+        self._remember(nonce)
+
+    def opener_proof(self, hello: Hello, challenge: Challenge) -> Proof:
+        """Return the proof of the side that opened the connection."""
+        return Proof(self._mac(b"opener", hello, challenge))
+
+    def listener_proof(self, hello: Hello, challenge: Challenge) -> Proof:
+        """Return the proof of the listening side."""
+        return Proof(self._mac(b"listener", hello, challenge))
+
+    def check_opener(self, hello: Hello, challenge: Challenge, proof: Proof) -> None:
+        """Raise `PeerRefusedError` unless the opener's proof is right."""
+        expected = self.opener_proof(hello, challenge)
+        self._check(hello.instance_id, expected, proof)
+
+    def check_listener(self, hello: Hello, challenge: Challenge, proof: Proof) -> None:
+        """Raise `PeerRefusedError` unless the listener's proof is right."""
+        expected = self.listener_proof(hello, challenge)
+        self._check(challenge.instance_id, expected, proof)
+
+    def refuse(self, refusal: Refusal, peer_id: InstanceId) -> PeerRefusedError:
+        """Count and log a refusal and return its error."""
+        self.refusal_counts[refusal] += 1
+        log.warning(f"peer refused: proof {refusal}", peer_id=peer_id)
+        return PeerRefusedError(refusal, peer_id)
+
+    def _check(self, peer_id: InstanceId, expected: Proof, proof: Proof) -> None:
+        if not proof.mac:
+            raise self.refuse(Refusal.MISSING, peer_id)
+        if not hmac.compare_digest(expected.mac, proof.mac):
+            raise self.refuse(Refusal.WRONG, peer_id)
+
+    def _mac(self, role: bytes, hello: Hello, challenge: Challenge) -> bytes:
+        parts = [
+            b"cardamomrun-peer-1",
+            role,
+            hello.instance_id.encode(),
+            str(hello.incarnation).encode(),
+            hello.nonce,
+            challenge.instance_id.encode(),
+            str(challenge.incarnation).encode(),
+            challenge.nonce,
+        ]
+        # Length prefixes keep the boundaries of the parts unambiguous.
+        text = b"".join(len(part).to_bytes(4, "big") + part for part in parts)
+        return hmac.digest(self._key, text, "sha256")
+
+    def _remember(self, nonce: bytes) -> None:
+        self._seen[nonce] = None
+        if len(self._seen) > SEEN_NONCE_COUNT:
+            self._seen.popitem(last=False)
--- /dev/null
+++ b/packages/cardamomrun-fleet/src/cardamomrun_fleet/exchange.py
@@ -0,0 +1,103 @@
+"""Messages with which instances pass records on and compare their stores."""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+
+from cardamomrun_base.codec import CodecError, decode, encode, message
+from cardamomrun_base.logs import PartLog
+from cardamomrun_base.model import InstanceId, Record
+from cardamomrun_fleet.store import HeldRecord, Store
+
+__all__ = [
+    "Digests",
+    "DigestsRequest",
+    "Fingerprints",
+    "RecordBatch",
+    "SnapshotRequest",
+    "Wanted",
+    "batches",
+    "merge_batch",
+]
+
+# Small enough that pings pass between the batches of a snapshot.
+BATCH_BYTES = 256_000
+
+log = PartLog("fleet")
+
+
+@message("records")
+@dataclass(frozen=True)
+class RecordBatch:
+    """Encoded records, each with its age in milliseconds."""
+
+    records: tuple[tuple[bytes, int], ...]
+
+
+@message("snapshot-request")
+@dataclass(frozen=True)
+class SnapshotRequest:
+    """Asks for all records; they arrive in batches before the answer."""
+
+
+@message("digests-request")
+@dataclass(frozen=True)
+class DigestsRequest:
+    """Starts an exchange; the root digest alone is sent while stores are equal."""
+
+    root: bytes
+
+
+@message("digests")
+@dataclass(frozen=True)
+class Digests:
+    """The digest of each bucket; empty if the roots are equal."""
+
+    buckets: bytes
+
+
+@message("fingerprints")
+@dataclass(frozen=True)
+class Fingerprints:
+    """What the sender holds in the buckets that differ; one byte names a bucket.
+
+    Records that the sender lacks arrive in batches before the answer.
+    """
+
+    buckets: bytes
+    fingerprints: bytes
+
+
+@message("wanted")
+@dataclass(frozen=True)
+class Wanted:
+    """Fingerprints of the records that the answering side lacks."""
+
+    fingerprints: bytes
+
+
+def batches(held: Iterable[HeldRecord], now_ms: float) -> Iterator[RecordBatch]:
+    """Yield the records in messages of bounded size."""
+    batch: list[tuple[bytes, int]] = []
+    size = 0
+    for one in held:
+        data = encode(one.record)
+        age_ms = 0 if one.lifetime_ms is None else one.age_ms(now_ms)
+        if batch and size + len(data) > BATCH_BYTES:
+            yield RecordBatch(tuple(batch))
+            batch, size = [], 0
+        batch.append((data, age_ms))
+        size += len(data)
+    if batch:
+        yield RecordBatch(tuple(batch))
+
+
+def merge_batch(store: Store, batch: RecordBatch, source: InstanceId) -> None:
+    """Merge a peer's records; unreadable ones are skipped and logged."""
+    for data, age_ms in batch.records:
+        try:
+            record = decode(data)
+            if isinstance(record, Record):
+                _ = record.content
+                store.merge(record, age_ms=age_ms, source=source)
+        except CodecError as error:
+            log.warning(f"record skipped: {error}", peer_id=source)
--- /dev/null
+++ b/packages/cardamomrun-fleet/src/cardamomrun_fleet/fleet.py
@@ -0,0 +1,574 @@
+"""The fleet as one instance sees it: links, flooding, exchange and membership."""
+
+import asyncio
+import contextlib
+import random
+from collections.abc import Awaitable, Callable
+from functools import partial
+from typing import Any
+
+from websockets.asyncio.connection import Connection
+from websockets.asyncio.server import Server
+from websockets.exceptions import WebSocketException
+
+from cardamomrun_base.clock import MS_PER_S, Clock
+from cardamomrun_base.codec import CodecError
+from cardamomrun_base.errors import (
+    AddressInUseError,
+    CardamomrunError,
+    CredentialError,
+    PeerUnreachableError,
+    UnavailableError,
+)
+from cardamomrun_base.logs import PartLog
+from cardamomrun_base.model import InstanceId, MemberBody, MemberPhase
+from cardamomrun_base.settings import NodeSettings
+from cardamomrun_fleet.credentials import Credentials, Hello, load_fleet_key
+from cardamomrun_fleet.exchange import (
+    Digests,
+    DigestsRequest,
+    Fingerprints,
+    RecordBatch,
+    SnapshotRequest,
+    Wanted,
+    batches,
+    merge_batch,
+)
+from cardamomrun_fleet.links import (
+    Link,
+    PeerFailedError,
+    Purpose,
+    TrafficCounters,
+    listen,
+    open_link,
+)
+from cardamomrun_fleet.membership import Membership
+from cardamomrun_fleet.overlay import select_peers
+from cardamomrun_fleet.store import HeldRecord, Source, Store
+
+__all__ = ["Fleet"]
+
+SNAPSHOT_PEER_COUNT = 2
+SNAPSHOT_WAIT_MS = 2_000
+SNAPSHOT_TIMEOUT_MS = 20_000
+EXCHANGE_TIMEOUT_MS = 5_000
+EXCHANGE_JITTER_RATIO = 0.2
+# Bounds one exchange; the rest of a large difference follows in the next ones.
+EXCHANGE_BUCKET_COUNT = 32
+REOPEN_MS = 1_000
+BACK_OFF_FIRST_MS = 100
+BACK_OFF_MAX_MS = 5_000
+MAX_TICK_MS = 250
+IDLE_REQUEST_LINK_MS = 60_000
+SETTLED_LINK_MS = 5_000
+# Members considered failed are tried now and then, so that the two sides of a long
+# partition find each other again.
+FAILED_PROBE_MS = 10_000
+STOP_TIMEOUT_MS = 2_000
+
+CONNECT_ERRORS = (
+    OSError,
+    TimeoutError,
+    WebSocketException,
+    CodecError,
+    CredentialError,
+)
+
+log = PartLog("fleet")
+
+Handler = Callable[[InstanceId, Any], Awaitable[Any]]
+
+
+class Fleet:
+    """Peer links and membership (`cardamomrun_base.interfaces.Fleet`)."""
+
+    def __init__(self, settings: NodeSettings, clock: Clock) -> None:
+        self.instance_id = settings.instance_id
+        self.store = Store(clock)
+        self.traffic = TrafficCounters()
+        self.membership = Membership(settings, clock, self.store)
+        self._settings = settings
+        self._clock = clock
+        self._random = random.Random(f"{settings.instance_id}/{clock.wall_ms()}")
+        self._handlers: dict[type, Handler] = {}
+        self._credentials: Credentials | None = None
+        self._server: Server | None = None
+        self._links: dict[InstanceId, list[Link]] = {}
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._dialers: dict[str, asyncio.Task[None]] = {}
+        self._openings: dict[InstanceId, asyncio.Task[Link]] = {}
+        self._added: dict[InstanceId, str] = {}
+        self._wanted: dict[str, InstanceId] = {}
+        self._lost_ms: dict[InstanceId, float] = {}
+        self._probed_ms = clock.now_ms()
+        self._probed: MemberBody | None = None
+        self._unflooded: list[tuple[HeldRecord, Source]] = []
+        self._pulled: set[InstanceId] = set()
+        self._synced_ms: float | None = None
+        self._changed = asyncio.Event()
+        self._wanted_basis: Any = None
+        self._stopping = False
+        self.store.watch(self._record_won)
+
+    @property
+    def incarnation(self) -> int:
+        """The current incarnation; refutations raise it within one run."""
+        return self.membership.incarnation
+
+    @property
+    def start_incarnation(self) -> int:
+        """The first incarnation of this run of the process."""
+        return self.membership.start_incarnation
+
+    @property
+    def refusal_counts(self) -> dict[str, int]:
+        """How many peers were refused, by kind of refusal."""
+        counts = self._credentials.refusal_counts if self._credentials else {}
+        return {str(refusal): count for refusal, count in counts.items()}
+
+    async def start(self) -> None:
+        """Open the listener, pull snapshots and publish phase starting.
+
+        Raises `CredentialError` if the key is unusable and `AddressInUseError` if the
+        listener cannot be opened.
+        """
+        key = load_fleet_key(self._settings.fleet.key_file)
+        self._credentials = Credentials(key, self.instance_id)
+        try:
+            self._server = await listen(
+                self._settings,
+                self._credentials,
+                lambda: self.incarnation,
+                self._accept,
+            )
+        except OSError as error:
+            raise AddressInUseError(
+                f"peer address {self._settings.peer_address} cannot be opened: {error}.",
+                remedy="stop the process that uses it, or change peer_port",
+            ) from error
+        self._spawn(self._maintain())
+        await self._wait_for_snapshots()
+        self.membership.publish()
+        self._spawn(self._exchange_regularly())
+
+    async def stop(self) -> None:
+        """Publish phase gone, send what is queued, and close all links."""
+        if self._stopping:
+            return
+        self._stopping = True
+        self.membership.set_phase(MemberPhase.GONE)
+        self._flood()
+        links = [link for links in self._links.values() for link in links]
+        await asyncio.gather(*(link.close() for link in links))
+        tasks = [*self._tasks, *self._dialers.values(), *self._openings.values()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        if self._server is not None:
+            self._server.close()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(STOP_TIMEOUT_MS / MS_PER_S):
+                    await self._server.wait_closed()
+
+    def set_phase(self, phase: MemberPhase) -> None:
+        """Publish a new phase of this instance."""
+        self.membership.set_phase(phase)
+
+    def members(self) -> list[MemberBody]:
+        """Return the instances that are not gone and not taken as failed."""
+        return self.membership.members()
+
+    def may_be_behind(self) -> bool:
+        """Return True until a peer answered, and while no known member answers."""
+        if self._synced_ms is None:
+            return True
+        if all(body.instance_id == self.instance_id for body in self.members()):
+            return False
+        fleet = self._settings.fleet
+        limit_ms = fleet.silence_ms + 2 * fleet.exchange_ms
+        return self._clock.now_ms() - self._synced_ms > limit_ms
+
+    def add_address(self, instance_id: InstanceId, peer_address: str) -> None:
+        """Name the peer address of an instance that has no member record yet."""
+        self._added[instance_id] = peer_address
+
+    def handle(self, message_type: type, handler: Handler) -> None:
+        """Answer messages of a type with the result of `handler(peer_id, message)`."""
+        self._handlers[message_type] = handler
+
+    def linked_peers(self) -> set[InstanceId]:
+        """Return the peers to which an overlay link is open."""
+        return {peer_id for peer_id in self._links if self._overlay_link(peer_id)}
+
+    async def request(
+        self, instance_id: InstanceId, message: Any, *, timeout_ms: int
+    ) -> Any:
+        """Send a message and return the answer; opens a link if there is none.
+
+        Raises `PeerUnreachableError` if no byte left, `PeerTimeoutError` otherwise.
+        """
+        if instance_id == self.instance_id:
+            return await self._request_self(message, timeout_ms)
+        started_ms = self._clock.now_ms()
+        link = self._any_link(instance_id)
+        if link is None:
+            link = await self._open_request_link(instance_id, timeout_ms)
+        left_ms = timeout_ms - (self._clock.now_ms() - started_ms)
+        if left_ms <= 0:
+            raise _unreachable(instance_id, "no time was left after opening a link")
+        return await link.request(message, timeout_ms=left_ms)
+
+    # Requests
+
+    async def _request_self(self, message: Any, timeout_ms: int) -> Any:
+        try:
+            async with asyncio.timeout(timeout_ms / MS_PER_S):
+                return await self._handlers[type(message)](self.instance_id, message)
+        except Exception as error:
+            raise PeerFailedError(
+                f"this instance could not answer its own message: {error!r}.",
+                remedy="see the log of this instance",
+            ) from error
+
+    async def _open_request_link(self, peer_id: InstanceId, timeout_ms: int) -> Link:
+        opening = self._openings.get(peer_id)
+        if opening is None:
+            opening = asyncio.create_task(self._open_to(peer_id))
+            self._openings[peer_id] = opening
+            opening.add_done_callback(partial(self._opened, peer_id))
+        try:
+            async with asyncio.timeout(timeout_ms / MS_PER_S):
+                # Other requests may wait for the same opening.
+                return await asyncio.shield(opening)
+        except CONNECT_ERRORS as error:
+            raise _unreachable(peer_id, repr(error)) from error
+
+    def _opened(self, peer_id: InstanceId, task: "asyncio.Task[Link]") -> None:
+        self._openings.pop(peer_id, None)
+        if not task.cancelled():
+            task.exception()
+
+    async def _open_to(self, peer_id: InstanceId) -> Link:
+        address = self._address_of(peer_id)
+        if address is None or self._stopping:
+            raise _unreachable(peer_id, "its address is not known")
+        link = await self._connect(address, Purpose.REQUEST)
+        if link.peer_id != peer_id:
+            link.abort()
+            raise _unreachable(peer_id, f"{link.peer_id} listens on {address}")
+        self._spawn(self._run_link(link))
+        return link
+
+    def _address_of(self, peer_id: InstanceId) -> str | None:
+        body = self.membership.get(peer_id)
+        return body.peer_address if body else self._added.get(peer_id)
+
+    async def _answer(self, link: Link, message: Any) -> Any:
+        match message:
+            case SnapshotRequest():
+                return await self._stream(link, self.store.everything())
+            case DigestsRequest(root):
+                equal = root == self.store.root_digest()
+                return Digests(b"" if equal else self.store.bucket_digests())
+            case Fingerprints(buckets, fingerprints):
+                extra, wanted = self.store.compare(buckets, fingerprints)
+                await self._stream(link, extra)
+                return Wanted(wanted)
+        return await self._handlers[type(message)](link.peer_id, message)
+
+    def _take(self, link: Link, message: Any) -> None:
+        if isinstance(message, RecordBatch):
+            merge_batch(self.store, message, link.peer_id)
+
+    async def _stream(self, link: Link, held: list[HeldRecord]) -> None:
+        for batch in batches(held, self._clock.now_ms()):
+            await link.stream(batch)
+
+    # Flooding and exchange
+
+    def _record_won(self, held: HeldRecord, source: Source) -> None:
+        if not self._unflooded and self._server is not None:
+            # Changes of the same loop turn leave in one message.
+            asyncio.get_running_loop().call_soon(self._flood)
+        if self._server is not None:
+            self._unflooded.append((held, source))
+
+    def _flood(self) -> None:
+        changes, self._unflooded = self._unflooded, []
+        now_ms = self._clock.now_ms()
+        for peer_id in tuple(self._links):
+            link = self._overlay_link(peer_id)
+            held = [one for one, source in changes if source != peer_id]
+            if link is not None and held:
+                for batch in batches(held, now_ms):
+                    link.send(batch)
+
+    async def _wait_for_snapshots(self) -> None:
+        fleet = self._settings.fleet
+        if not fleet.seeds and not self._added:
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(SNAPSHOT_WAIT_MS / MS_PER_S):
+                while not self._has_enough_snapshots():
+                    await self._clock.sleep_ms(10)
+        if not self._pulled:
+            log.warning("no peer answered; starting alone")
+
+    def _has_enough_snapshots(self) -> bool:
+        others = {body.instance_id for body in self.members()} - {self.instance_id}
+        needed = min(SNAPSHOT_PEER_COUNT, max(1, len(others)))
+        return len(self._pulled) >= needed
+
+    async def _pull_snapshot(self, link: Link) -> None:
+        with contextlib.suppress(UnavailableError):
+            await link.request(SnapshotRequest(), timeout_ms=SNAPSHOT_TIMEOUT_MS)
+            self._pulled.add(link.peer_id)
+            self._synced_ms = self._clock.now_ms()
+
+    async def _exchange_regularly(self) -> None:
+        while True:
+            jitter = self._random.uniform(-1, 1) * EXCHANGE_JITTER_RATIO
+            await self._clock.sleep_ms(self._settings.fleet.exchange_ms * (1 + jitter))
+            peers = sorted(self.linked_peers())
+            if not peers:
+                continue
+            link = self._overlay_link(self._random.choice(peers))
+            if link is not None:
+                with contextlib.suppress(UnavailableError):
+                    await self._exchange(link)
+
+    async def _exchange(self, link: Link) -> None:
+        start = DigestsRequest(self.store.root_digest())
+        digests = await link.request(start, timeout_ms=EXCHANGE_TIMEOUT_MS)
+        if digests.buckets:
+            differing = self.store.differing_buckets(digests.buckets)
+            self._random.shuffle(differing)
+            await self._exchange_buckets(link, bytes(differing[:EXCHANGE_BUCKET_COUNT]))
+        self._synced_ms = self._clock.now_ms()
+
+    async def _exchange_buckets(self, link: Link, buckets: bytes) -> None:
+        if not buckets:
+            return
+        own = Fingerprints(buckets, self.store.fingerprints(buckets))
+        wanted = await link.request(own, timeout_ms=EXCHANGE_TIMEOUT_MS)
+        held = self.store.with_fingerprints(buckets, wanted.fingerprints)
+        await self._stream(link, held)
+
+    # Links
+
+    async def _connect(self, address: str, purpose: Purpose) -> Link:
+        if self._credentials is None:
+            raise _unreachable(address, "this instance has not started")
+        connection, challenge = await open_link(
+            self._settings, self._credentials, self.incarnation, address, purpose
+        )
+        return self._new_link(connection, challenge, purpose, outbound=True)
+
+    async def _accept(
+        self, connection: Connection, hello: Hello, purpose: Purpose
+    ) -> None:
+        link = self._new_link(connection, hello, purpose, outbound=False)
+        await self._run_link(link)
+
+    def _new_link(
+        self, connection: Connection, peer: Any, purpose: Purpose, *, outbound: bool
+    ) -> Link:
+        return Link(
+            connection,
+            peer.instance_id,
+            peer.incarnation,
+            outbound=outbound,
+            purpose=purpose,
+            clock=self._clock,
+            counters=self.traffic,
+        )
+
+    async def _run_link(self, link: Link) -> None:
+        self._register(link)
+        try:
+            await link.run(self._take, self._answer)
+        finally:
+            link.abort()
+            self._unregister(link)
+
+    def _register(self, link: Link) -> None:
+        links = self._links.setdefault(link.peer_id, [])
+        for old in tuple(links):
+            # The opener only opens a second one after it lost the first.
+            if old.outbound == link.outbound and old.purpose == link.purpose:
+                old.abort()
+        links.append(link)
+        if link.purpose is Purpose.OVERLAY:
+            self._lost_ms.pop(link.peer_id, None)
+            self.membership.withdraw(link.peer_id)
+        if len(self._pulled) < SNAPSHOT_PEER_COUNT:
+            self._spawn(self._pull_snapshot(link))
+
+    def _unregister(self, link: Link) -> None:
+        links = self._links[link.peer_id]
+        links.remove(link)
+        if not links:
+            del self._links[link.peer_id]
+        if link.purpose is not Purpose.OVERLAY or self._stopping:
+            return
+        if not link.ended_on_purpose and self._overlay_link(link.peer_id) is None:
+            log.warning("link lost", peer_id=link.peer_id)
+            self._lost_ms.setdefault(link.peer_id, self._clock.now_ms())
+        self._changed.set()
+
+    def _overlay_link(self, peer_id: InstanceId) -> Link | None:
+        for link in reversed(self._links.get(peer_id, ())):
+            if link.purpose is Purpose.OVERLAY and not link.closed:
+                return link
+        return None
+
+    def _any_link(self, peer_id: InstanceId) -> Link | None:
+        links = [link for link in self._links.get(peer_id, ()) if not link.closed]
+        return links[-1] if links else None
+
+    # Maintenance
+
+    async def _maintain(self) -> None:
+        tick_ms = min(MAX_TICK_MS, self._settings.fleet.suspicion_ms / 10)
+        while not self._stopping:
+            try:
+                self._tick()
+            except CardamomrunError as error:
+                log.error(f"maintenance of links failed: {error}")
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(tick_ms / MS_PER_S):
+                    await self._changed.wait()
+            self._changed.clear()
+
+    def _tick(self) -> None:
+        self.membership.tick()
+        self._suspect_lost()
+        self._update_wanted()
+        self._start_dialers()
+        self._close_surplus()
+
+    def _suspect_lost(self) -> None:
+        now_ms = self._clock.now_ms()
+        for peer_id, lost_ms in list(self._lost_ms.items()):
+            if not self.membership.is_alive(peer_id):
+                del self._lost_ms[peer_id]
+            elif now_ms - lost_ms >= REOPEN_MS:
+                self.membership.suspect(peer_id)
+
+    def _update_wanted(self) -> None:
+        self._choose_probe()
+        probed_id = self._probed.instance_id if self._probed else None
+        basis = (
+            self.membership.change_count,
+            frozenset(self._lost_ms),
+            probed_id,
+            self._synced_ms is None,
+            frozenset(self._added.items()),
+        )
+        if basis == self._wanted_basis:
+            return
+        self._wanted_basis = basis
+        members = {body.instance_id: body for body in self.members()}
+        members.pop(self.instance_id, None)
+        reachable = [b for b in members.values() if b.instance_id not in self._lost_ms]
+        chosen = select_peers(
+            self.instance_id,
+            self._settings.failure_domain,
+            reachable,
+            self._settings.fleet.overlay_links,
+        )
+        chosen |= members.keys() & self._lost_ms.keys()
+        wanted = {members[peer_id].peer_address: peer_id for peer_id in chosen}
+        if self._probed is not None:
+            wanted.setdefault(self._probed.peer_address, self._probed.instance_id)
+        known = {body.peer_address for body in members.values()}
+        for address in (*self._settings.fleet.seeds, *self._seed_addresses()):
+            if address not in known and address != self._settings.peer_address:
+                wanted.setdefault(address, "")
+        self._wanted = wanted
+
+    def _seed_addresses(self) -> list[str]:
+        return list(self._added.values()) if self._synced_ms is None else []
+
+    def _choose_probe(self) -> None:
+        now_ms = self._clock.now_ms()
+        if now_ms - self._probed_ms < FAILED_PROBE_MS:
+            return
+        self._probed_ms = now_ms
+        failed = self.membership.failed()
+        self._probed = self._random.choice(failed) if failed else None
+
+    def _start_dialers(self) -> None:
+        for address, peer_id in self._wanted.items():
+            if address in self._dialers or self._overlay_link(peer_id):
+                continue
+            task = asyncio.create_task(self._dial(address))
+            self._dialers[address] = task
+            task.add_done_callback(partial(self._dial_ended, address))
+
+    def _dial_ended(self, address: str, task: "asyncio.Task[None]") -> None:
+        self._dialers.pop(address, None)
+
+    async def _dial(self, address: str) -> None:
+        """Open a link and run it; open it again until it is not wanted any more."""
+        back_off_ms = BACK_OFF_FIRST_MS
+        while address in self._wanted and not self._stopping:
+            if self._overlay_link(self._wanted[address]):
+                return
+            try:
+                link = await self._connect(address, Purpose.OVERLAY)
+            except CONNECT_ERRORS as error:
+                self._dial_failed(address, error)
+            else:
+                back_off_ms = BACK_OFF_FIRST_MS
+                await self._run_link(link)
+            await self._clock.sleep_ms(back_off_ms * self._random.uniform(0.5, 1))
+            back_off_ms = min(2 * back_off_ms, BACK_OFF_MAX_MS)
+
+    def _dial_failed(self, address: str, error: Exception) -> None:
+        peer_id = self._wanted.get(address, "")
+        if peer_id and self.membership.is_alive(peer_id):
+            if peer_id not in self._lost_ms:
+                log.warning(f"link cannot be opened: {error!r}", peer_id=peer_id)
+            self._lost_ms.setdefault(peer_id, self._clock.now_ms())
+
+    def _close_surplus(self) -> None:
+        """Close own outbound links that are duplicates, not wanted, or idle."""
+        now_ms = self._clock.now_ms()
+        for peer_id, links in self._links.items():
+            for link in links:
+                if not link.outbound or link.is_busy or link.closed:
+                    continue
+                if self._is_surplus(peer_id, link, now_ms):
+                    link.ended_on_purpose = True
+                    self._spawn(link.close())
+
+    def _is_surplus(self, peer_id: InstanceId, link: Link, now_ms: float) -> bool:
+        if link.ended_on_purpose:
+            return False
+        if link.purpose is Purpose.REQUEST:
+            return now_ms - link.used_ms > IDLE_REQUEST_LINK_MS
+        if now_ms - link.opened_ms < SETTLED_LINK_MS:
+            return False
+        inbound = any(
+            other.purpose is Purpose.OVERLAY and not other.outbound and not other.closed
+            for other in self._links[peer_id]
+        )
+        # Both sides opened a link at the same time: the lower instance id keeps its own.
+        if inbound and peer_id < self.instance_id:
+            return True
+        return peer_id not in self._wanted.values() and self.membership.is_alive(
+            peer_id
+        )
+
+    def _spawn(self, work: Any) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def _unreachable(peer_id: InstanceId, reason: str) -> PeerUnreachableError:
+    return PeerUnreachableError(
+        f"no link to peer {peer_id}: {reason}.",
+        remedy="check that it runs and can be reached",
+    )
--- /dev/null
+++ b/packages/cardamomrun-fleet/src/cardamomrun_fleet/links.py
@@ -0,0 +1,489 @@
+"""Peer links: one authenticated websocket connection each, with bounded queues."""
+
+import asyncio
+import contextlib
+import itertools
+import ssl
+from collections import deque
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Any
+
+from websockets.asyncio.client import connect
+from websockets.asyncio.connection import Connection
+from websockets.asyncio.server import Server, serve
+from websockets.exceptions import WebSocketException
+
+from cardamomrun_base.clock import MS_PER_S, Clock
+from cardamomrun_base.codec import CodecError, decode, encode, message
+from cardamomrun_base.errors import PeerTimeoutError, PeerUnreachableError
+from cardamomrun_base.logs import PartLog
+from cardamomrun_base.messages import Settled
+from cardamomrun_base.model import InstanceId
+from cardamomrun_base.settings import NodeSettings, TlsSettings
+from cardamomrun_fleet.credentials import (
+    Challenge,
+    Credentials,
+    Hello,
+    PeerRefusedError,
+    Proof,
+    Refusal,
+)
+
+__all__ = [
+    "Link",
+    "PeerFailedError",
+    "Purpose",
+    "TrafficCounters",
+    "listen",
+    "open_link",
+]
+
+OPEN_TIMEOUT_MS = 2_000
+# Request links are many at the target scale (claims reach 3 of 420 keepers), so they
+# are pinged rarely; a time-out without any traffic closes them instead.
+REQUEST_PING_MS = 20_000
+MAX_MESSAGE_BYTES = 16_000_000
+SEND_QUEUE_BYTES = 20_000_000
+SEND_QUEUE_COUNT = 4_096
+STREAM_QUEUE_BYTES = 500_000
+MAX_RUNNING_REQUESTS = 256
+CLOSE_TIMEOUT_MS = 500
+CLOSE_REFUSED = 4_401
+CLOSE_NOT_NEEDED = 4_000
+
+ONE_WAY = 0
+REQUEST = 1
+ANSWER = 2
+FAILURE = 3
+
+log = PartLog("fleet")
+
+
+class Purpose(StrEnum):
+    """What a link is for; the opener names it in the request path."""
+
+    OVERLAY = "overlay"
+    REQUEST = "request"
+
+
+class PeerFailedError(PeerTimeoutError):
+    """The peer received the message and could not answer it."""
+
+    kind = "peer-failed"
+
+
+@message("envelope")
+@dataclass(frozen=True)
+class Envelope:
+    """Frame on a link; `correlation` joins a request and its answer."""
+
+    kind: int
+    correlation: int
+    body: bytes
+
+
+@dataclass
+class TrafficCounters:
+    """Bytes and messages of all links of an instance, without websocket framing."""
+
+    sent_bytes: int = 0
+    received_bytes: int = 0
+    sent_count: int = 0
+    received_count: int = 0
+    slow_peer_count: int = 0
+
+
+class Link:
+    """One connection to one peer."""
+
+    def __init__(
+        self,
+        connection: Connection,
+        peer_id: InstanceId,
+        peer_incarnation: int,
+        *,
+        outbound: bool,
+        purpose: Purpose,
+        clock: Clock,
+        counters: TrafficCounters,
+    ) -> None:
+        self.peer_id = peer_id
+        self.peer_incarnation = peer_incarnation
+        self.outbound = outbound
+        self.purpose = purpose
+        self.opened_ms = self.used_ms = self.heard_ms = clock.now_ms()
+        self.ended_on_purpose = False
+        self._connection = connection
+        self._clock = clock
+        self._counters = counters
+        self._queue: deque[bytes] = deque()
+        self._queue_bytes = 0
+        self._queued = asyncio.Event()
+        self._drained = asyncio.Event()
+        self._drained.set()
+        self._pending: dict[int, asyncio.Future[Any]] = {}
+        self._correlations = itertools.count(1)
+        self._handlers: set[asyncio.Task[None]] = set()
+        self.closed = False
+
+    @property
+    def is_busy(self) -> bool:
+        """True while requests run in either direction or frames wait to be sent."""
+        return bool(self._pending or self._handlers or self._queue)
+
+    def send(self, content: Any) -> bool:
+        """Queue a one-way message; False if the link is closed."""
+        return self._send(ONE_WAY, 0, encode(content))
+
+    async def stream(self, content: Any) -> bool:
+        """Queue a one-way message once the peer has taken most of the earlier ones."""
+        while not self.closed and self._queue_bytes > STREAM_QUEUE_BYTES:
+            self._drained.clear()
+            await self._drained.wait()
+        return self.send(content)
+
+    async def request(self, content: Any, *, timeout_ms: float) -> Any:
+        """Send a message and return its answer.
+
+        Raises `PeerUnreachableError` if it was not queued, `PeerTimeoutError` if no
+        answer came, `PeerFailedError` if the peer could not answer it.
+        """
+        correlation = next(self._correlations)
+        sent_ms = self.used_ms = self._clock.now_ms()
+        answer = asyncio.get_running_loop().create_future()
+        self._pending[correlation] = answer
+        try:
+            if not self._send(REQUEST, correlation, encode(content)):
+                raise _unreachable(self.peer_id)
+            async with asyncio.timeout(timeout_ms / MS_PER_S):
+                return await answer
+        except TimeoutError as error:
+            self._close_if_silent_since(sent_ms)
+            raise _timed_out(
+                self.peer_id, f"no answer in {timeout_ms:.0f} ms"
+            ) from error
+        finally:
+            self._pending.pop(correlation, None)
+
+    async def run(
+        self,
+        take: Callable[["Link", Any], None],
+        answer: Callable[["Link", Any], Awaitable[Any]],
+    ) -> None:
+        """Read until the connection ends: `take` one-way messages, `answer` requests."""
+        writer = asyncio.create_task(self._write())
+        try:
+            async for frame in self._connection:
+                self._receive(frame, take, answer)
+        except (WebSocketException, OSError):
+            pass
+        except CodecError as error:
+            log.warning(f"link closed: {error}", peer_id=self.peer_id)
+        finally:
+            if self._connection.close_code == CLOSE_NOT_NEEDED:
+                self.ended_on_purpose = True
+            self._end()
+            writer.cancel()
+            self._connection.transport.abort()
+
+    async def close(self) -> None:
+        """Send what is queued, then close because the link is not needed any more."""
+        self.ended_on_purpose = True
+        with contextlib.suppress(TimeoutError, WebSocketException, OSError):
+            async with asyncio.timeout(CLOSE_TIMEOUT_MS / MS_PER_S):
+                while self._queue_bytes and not self.closed:
+                    self._drained.clear()
+                    await self._drained.wait()
+                await self._connection.close(CLOSE_NOT_NEEDED)
+        self.abort()
+
+    def abort(self) -> None:
+        """Close without waiting for the peer."""
+        self._end()
+        self._connection.transport.abort()
+
+    def _send(self, kind: int, correlation: int, body: bytes) -> bool:
+        if self.closed:
+            return False
+        frame = encode(Envelope(kind, correlation, body))
+        queue_bytes = self._queue_bytes + len(frame)
+        if queue_bytes > SEND_QUEUE_BYTES or len(self._queue) >= SEND_QUEUE_COUNT:
+            self._counters.slow_peer_count += 1
+            log.warning(
+                "link closed: the peer does not read fast enough",
+                peer_id=self.peer_id,
+                queue_bytes=self._queue_bytes,
+            )
+            self.abort()
+            return False
+        self._queue.append(frame)
+        self._queue_bytes = queue_bytes
+        self._queued.set()
+        return True
+
+    async def _write(self) -> None:
+        with contextlib.suppress(WebSocketException, OSError):
+            while not self.closed:
+                await self._queued.wait()
+                self._queued.clear()
+                while self._queue:
+                    frame = self._queue[0]
+                    await self._connection.send(frame)
+                    self._queue.popleft()
+                    self._queue_bytes -= len(frame)
+                    self._counters.sent_bytes += len(frame)
+                    self._counters.sent_count += 1
+                    if self._queue_bytes <= STREAM_QUEUE_BYTES // 2 or not self._queue:
+                        self._drained.set()
+
+    def _receive(
+        self,
+        frame: str | bytes,
+        take: Callable[["Link", Any], None],
+        answer: Callable[["Link", Any], Awaitable[Any]],
+    ) -> None:
+        if self.closed or not isinstance(frame, bytes):
+            return
+        self.heard_ms = self._clock.now_ms()
+        self._counters.received_bytes += len(frame)
+        self._counters.received_count += 1
+        envelope = decode(frame)
+        if not isinstance(envelope, Envelope):
+            return
+        content = decode(envelope.body) if envelope.body else None
+        if envelope.kind == ONE_WAY:
+            take(self, content)
+        elif envelope.kind == REQUEST:
+            self._start_answer(envelope.correlation, content, answer)
+        else:
+            self._settle(envelope, content)
+
+    def _start_answer(
+        self,
+        correlation: int,
+        content: Any,
+        answer: Callable[["Link", Any], Awaitable[Any]],
+    ) -> None:
+        self.used_ms = self._clock.now_ms()
+        if len(self._handlers) >= MAX_RUNNING_REQUESTS:
+            self._send(FAILURE, correlation, b"")
+            return
+        task = asyncio.create_task(self._answer(correlation, content, answer))
+        self._handlers.add(task)
+        task.add_done_callback(self._handlers.discard)
+
+    async def _answer(
+        self,
+        correlation: int,
+        content: Any,
+        answer: Callable[["Link", Any], Awaitable[Any]],
+    ) -> None:
+        try:
+            result = await answer(self, content)
+            body = encode(Settled() if result is None else result)
+        except Exception as error:
+            log.error(
+                f"a handler failed: {error!r}",
+                peer_id=self.peer_id,
+                message=type(content).__name__,
+            )
+            self._send(FAILURE, correlation, b"")
+        else:
+            self._send(ANSWER, correlation, body)
+
+    def _settle(self, envelope: Envelope, content: Any) -> None:
+        future = self._pending.get(envelope.correlation)
+        if future is None or future.done():
+            return
+        if envelope.kind == FAILURE:
+            future.set_exception(
+                PeerFailedError(
+                    f"peer {self.peer_id} could not answer.",
+                    remedy="see the log of the peer",
+                )
+            )
+        else:
+            future.set_result(content)
+
+    def _close_if_silent_since(self, sent_ms: float) -> None:
+        # A connection can go silent while new ones work; the next request opens one.
+        if self.purpose is Purpose.REQUEST and self.heard_ms < sent_ms:
+            self.abort()
+
+    def _end(self) -> None:
+        self.closed = True
+        self._queue.clear()
+        self._queue_bytes = 0
+        self._queued.set()
+        self._drained.set()
+        for future in self._pending.values():
+            if not future.done():
+                future.set_exception(_timed_out(self.peer_id, "the link closed"))
+        for task in self._handlers:
+            task.cancel()
+
+
+def _unreachable(peer_id: InstanceId) -> PeerUnreachableError:
+    return PeerUnreachableError(
+        f"no link to peer {peer_id}.", remedy="check that it runs and can be reached"
+    )
+
+
+def _timed_out(peer_id: InstanceId, reason: str) -> PeerTimeoutError:
+    return PeerTimeoutError(
+        f"peer {peer_id} did not answer: {reason}.",
+        remedy="repeat the operation if it may run twice",
+    )
+
+
+async def listen(
+    settings: NodeSettings,
+    credentials: Credentials,
+    incarnation: Callable[[], int],
+    accept: Callable[[Connection, Hello, Purpose], Awaitable[None]],
+) -> Server:
+    """Open the peer listener; `accept` runs for each authenticated connection."""
+
+    async def serve_connection(connection: Any) -> None:
+        with contextlib.suppress(WebSocketException, OSError, TimeoutError, CodecError):
+            hello = await _authenticate_opener(
+                connection, credentials, settings.instance_id, incarnation()
+            )
+            if hello is not None:
+                await accept(connection, hello, _purpose(connection))
+
+    def set_ping_interval(connection: Any, request: Any) -> None:
+        if request.path == f"/{Purpose.REQUEST}":
+            connection.ping_interval = REQUEST_PING_MS / MS_PER_S
+
+    return await serve(
+        serve_connection,
+        str(settings.host),
+        settings.peer_port,
+        ssl=_tls_context(settings.tls, ssl.Purpose.CLIENT_AUTH),
+        process_request=set_ping_interval,
+        **_options(settings, Purpose.OVERLAY),
+    )
+
+
+async def open_link(
+    settings: NodeSettings,
+    credentials: Credentials,
+    incarnation: int,
+    address: str,
+    purpose: Purpose,
+) -> tuple[Connection, Challenge]:
+    """Open and authenticate a connection.
+
+    Raises `OSError`, `TimeoutError`, `WebSocketException`, `CodecError` or
+    `PeerRefusedError`.
+    """
+    scheme = "wss" if settings.tls else "ws"
+    async with asyncio.timeout(OPEN_TIMEOUT_MS / MS_PER_S):
+        connection = await connect(
+            f"{scheme}://{address}/{purpose}",
+            ssl=_tls_context(settings.tls, ssl.Purpose.SERVER_AUTH),
+            proxy=None,
+            **_options(settings, purpose),
+        )
+        try:
+            challenge = await _authenticate_listener(
+                connection, credentials, settings.instance_id, incarnation
+            )
+        except BaseException:
+            connection.transport.abort()
+            raise
+    return connection, challenge
+
+
+def _options(settings: NodeSettings, purpose: Purpose) -> dict[str, Any]:
+    fleet = settings.fleet
+    overlay = purpose is Purpose.OVERLAY
+    ping_ms = fleet.ping_ms if overlay else REQUEST_PING_MS
+    return {
+        # Compression costs more processor time than these small messages save.
+        "compression": None,
+        "max_size": MAX_MESSAGE_BYTES,
+        "open_timeout": OPEN_TIMEOUT_MS / MS_PER_S,
+        "close_timeout": CLOSE_TIMEOUT_MS / MS_PER_S,
+        "ping_interval": ping_ms / MS_PER_S,
+        # A ping is sent each ping_ms, so silence is noticed after silence_ms in all.
+        "ping_timeout": max(fleet.silence_ms - fleet.ping_ms, 50) / MS_PER_S,
+    }
+
+
+def _tls_context(
+    tls: TlsSettings | None, purpose: ssl.Purpose
+) -> ssl.SSLContext | None:
+    if tls is None:
+        return None
+    context = ssl.create_default_context(purpose, cafile=str(tls.authority_file))
+    context.load_cert_chain(str(tls.certificate_file), str(tls.key_file))
+    # Both sides need a certificate of the authority. Instances are told apart by the
+    # handshake with the fleet key, not by names in certificates.
+    context.check_hostname = False
+    context.verify_mode = ssl.CERT_REQUIRED
+    return context
+
+
+def _purpose(connection: Any) -> Purpose:
+    path = connection.request.path if connection.request else ""
+    return Purpose.REQUEST if path == f"/{Purpose.REQUEST}" else Purpose.OVERLAY
+
+
+async def _authenticate_opener(
+    connection: Connection,
+    credentials: Credentials,
+    instance_id: InstanceId,
+    incarnation: int,
+) -> Hello | None:
+    try:
+        async with asyncio.timeout(OPEN_TIMEOUT_MS / MS_PER_S):
+            hello = await _expect(connection, Hello, credentials, "")
+            if hello.instance_id == instance_id:
+                await connection.close(CLOSE_REFUSED, "own address")
+                return None
+            credentials.check_nonce(hello.instance_id, hello.nonce)
+            challenge = Challenge(instance_id, incarnation, credentials.new_nonce())
+            await connection.send(encode(challenge))
+            proof = await _expect(connection, Proof, credentials, hello.instance_id)
+            credentials.check_opener(hello, challenge, proof)
+            await connection.send(encode(credentials.listener_proof(hello, challenge)))
+            return hello
+    except PeerRefusedError as error:
+        await connection.close(CLOSE_REFUSED, error.refusal)
+        return None
+
+
+async def _authenticate_listener(
+    connection: Connection,
+    credentials: Credentials,
+    instance_id: InstanceId,
+    incarnation: int,
+) -> Challenge:
+    hello = Hello(instance_id, incarnation, credentials.new_nonce())
+    await connection.send(encode(hello))
+    challenge = await _expect(connection, Challenge, credentials, "")
+    credentials.check_nonce(challenge.instance_id, challenge.nonce)
+    await connection.send(encode(credentials.opener_proof(hello, challenge)))
+    proof = await _expect(connection, Proof, credentials, challenge.instance_id)
+    credentials.check_listener(hello, challenge, proof)
+    return challenge
+
+
+async def _expect(
+    connection: Connection,
+    message_type: type,
+    credentials: Credentials,
+    peer_id: InstanceId,
+) -> Any:
+    frame = await connection.recv()
+    try:
+        content = decode(frame) if isinstance(frame, bytes) else None
+    except CodecError:
+        content = None
+    if not isinstance(content, message_type):
+        raise credentials.refuse(Refusal.MISSING, peer_id)
+    return content
--- /dev/null
+++ b/packages/cardamomrun-fleet/src/cardamomrun_fleet/overlay.py
@@ -0,0 +1,36 @@
+"""Selection of the peers to which an instance keeps overlay links."""
+
+from collections.abc import Iterable
+
+from cardamomrun_base.hashing import rank
+from cardamomrun_base.model import InstanceId, MemberBody
+
+__all__ = ["select_peers"]
+
+# Below this number of peers, all are linked.
+LINK_ALL_BELOW = 6
+
+
+def select_peers(
+    instance_id: InstanceId,
+    failure_domain: str,
+    candidates: Iterable[MemberBody],
+    link_count: int,
+) -> set[InstanceId]:
+    """Return the peers to link: half in the own failure domain, half outside it.
+
+    If one side has too few, the other fills up.
+    """
+    domains = {
+        body.instance_id: body.failure_domain
+        for body in candidates
+        if body.instance_id != instance_id
+    }
+    if len(domains) < LINK_ALL_BELOW:
+        return set(domains)
+    ranked = rank(instance_id, domains)
+    inside = [peer for peer in ranked if domains[peer] == failure_domain]
+    outside = [peer for peer in ranked if domains[peer] != failure_domain]
+    inside_count = max(link_count // 2, link_count - len(outside))
+    chosen = inside[:inside_count]
+    return set(chosen + outside[: link_count - len(chosen)])
--- /dev/null
+++ b/packages/cardamomrun-fleet/src/cardamomrun_fleet/store.py
@@ -0,0 +1,336 @@
+"""The record store: merge by version, lifetimes, tombstones and bucket digests."""
+
+import heapq
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import Any
+
+import xxhash
+
+from cardamomrun_base.clock import Clock
+from cardamomrun_base.logs import PartLog
+from cardamomrun_base.model import Kind, MemberPhase, Record
+
+__all__ = ["BUCKET_COUNT", "HeldRecord", "Store"]
+
+BUCKET_COUNT = 256
+BUCKET_DIGEST_BYTES = 4
+FINGERPRINT_BYTES = 8
+GONE_MEMBER_MS = 600_000
+# A paused or partitioned peer can hold an expired record for long; 10 minutes is the
+# time after which the record of a lost member is dropped as well.
+TOMBSTONE_MS = 600_000
+# The target scale needs about 5,000 records; a few KB each stay far below 128 MB.
+MAX_RECORD_COUNT = 50_000
+MAX_TOMBSTONE_COUNT = 50_000
+MAX_BODY_BYTES = 8_000_000
+
+log = PartLog("fleet")
+
+Source = str | None
+
+
+@dataclass(frozen=True)
+class HeldRecord:
+    """A record with its rank in the merge order, fingerprint and local lifetime."""
+
+    record: Record
+    rank: tuple[Any, ...]
+    fingerprint: int
+    arrived_ms: float
+    lifetime_ms: float | None
+
+    def age_ms(self, now_ms: float) -> int:
+        """Return the time since the record was written, as far as it is known here."""
+        return max(0, int(now_ms - self.arrived_ms))
+
+    def expires_ms(self) -> float:
+        """Return when the record ends on the local clock; infinity if never."""
+        if self.lifetime_ms is None:
+            return float("inf")
+        return self.arrived_ms + self.lifetime_ms
+
+
+@dataclass(frozen=True)
+class _Tombstone:
+    version: tuple[int, int]
+    until_ms: float
+
+
+class Store:
+    """Replicated records of one instance (`cardamomrun_base.interfaces.RecordStore`).
+
+    Of two records of one key the higher version wins; equal versions are settled by
+    the digest of the body, so that merging in any order gives the same result.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        *,
+        max_record_count: int = MAX_RECORD_COUNT,
+        max_tombstone_count: int = MAX_TOMBSTONE_COUNT,
+    ) -> None:
+        self._clock = clock
+        self._max_record_count = max_record_count
+        self._max_tombstone_count = max_tombstone_count
+        self._held: dict[Kind, dict[str, HeldRecord]] = {kind: {} for kind in Kind}
+        self._buckets: list[dict[tuple[Kind, str], HeldRecord]] = [
+            {} for _ in range(BUCKET_COUNT)
+        ]
+        self._digests = [0] * BUCKET_COUNT
+        self._tombstones: dict[tuple[Kind, str], _Tombstone] = {}
+        self._expiries: list[tuple[float, int, Kind, str]] = []
+        self._subscribers: dict[Kind, list[Callable[[Record], None]]] = {}
+        self._watchers: list[Callable[[HeldRecord, Source], None]] = []
+        self._record_count = 0
+        self.refused_count = 0
+
+    def __len__(self) -> int:
+        self._expire()
+        return self._record_count
+
+    def get(self, kind: Kind, key: str) -> Record | None:
+        """Return the live record of a key."""
+        self._expire()
+        held = self._held[kind].get(key)
+        return held.record if held else None
+
+    def all(self, kind: Kind) -> list[Record]:
+        """Return all live records of a kind."""
+        self._expire()
+        return [held.record for held in self._held[kind].values()]
+
+    def put(self, record: Record) -> bool:
+        """Merge a record written here; flood it and return True if it won."""
+        return self.merge(record)
+
+    def subscribe(self, kind: Kind, callback: Callable[[Record], None]) -> None:
+        """Call back with each record of the kind that wins, from here or from a peer."""
+        self._subscribers.setdefault(kind, []).append(callback)
+
+    def watch(self, callback: Callable[[HeldRecord, Source], None]) -> None:
+        """Call back with each record that wins and the peer that it came from."""
+        self._watchers.append(callback)
+
+    def merge(self, record: Record, *, age_ms: int = 0, source: Source = None) -> bool:
+        """Merge a record that was `age_ms` old when it arrived; True if it won.
+
+        Peers report the age so that a record passed on does not start its lifetime
+        anew at each instance.
+        """
+        self._expire()
+        held = _held(record, self._clock.now_ms() - max(0, age_ms))
+        if not self._wins(held):
+            return False
+        self._insert(held)
+        self._notify(held, source)
+        return True
+
+    def remove(self, kind: Kind, key: str) -> None:
+        """Drop a record here and keep its version, so that no peer brings it back."""
+        held = self._held[kind].get(key)
+        if held is not None:
+            self._bury(held)
+
+    def root_digest(self) -> bytes:
+        """Return one digest of all live records."""
+        self._expire()
+        return xxhash.xxh3_64_digest(self._packed_digests(FINGERPRINT_BYTES))
+
+    def bucket_digests(self) -> bytes:
+        """Return the digests of all buckets, 4 bytes each."""
+        self._expire()
+        return self._packed_digests(BUCKET_DIGEST_BYTES)
+
+    def differing_buckets(self, digests: bytes) -> list[int]:
+        """Return the buckets whose digest differs from a peer's `bucket_digests`."""
+        own = self.bucket_digests()
+        size = BUCKET_DIGEST_BYTES
+        starts = range(0, BUCKET_COUNT * size, size)
+        return [
+            start // size
+            for start in starts
+            if own[start : start + size] != digests[start : start + size]
+        ]
+
+    def fingerprints(self, buckets: Iterable[int]) -> bytes:
+        """Return the fingerprints of the records in the buckets, 8 bytes each."""
+        self._expire()
+        return b"".join(
+            _packed(held.fingerprint)
+            for bucket in buckets
+            for held in self._buckets[bucket].values()
+        )
+
+    def compare(
+        self, buckets: Iterable[int], fingerprints: bytes
+    ) -> tuple[list[HeldRecord], bytes]:
+        """Return the records that a peer lacks and the fingerprints that lack here."""
+        self._expire()
+        theirs = set(_split(fingerprints))
+        ours: set[bytes] = set()
+        extra = []
+        for bucket in buckets:
+            for held in self._buckets[bucket].values():
+                packed = _packed(held.fingerprint)
+                ours.add(packed)
+                if packed not in theirs:
+                    extra.append(held)
+        return extra, b"".join(sorted(theirs - ours))
+
+    def with_fingerprints(
+        self, buckets: Iterable[int], fingerprints: bytes
+    ) -> list[HeldRecord]:
+        """Return the records of the buckets that have one of the fingerprints."""
+        self._expire()
+        wanted = set(_split(fingerprints))
+        return [
+            held
+            for bucket in buckets
+            for held in self._buckets[bucket].values()
+            if _packed(held.fingerprint) in wanted
+        ]
+
+    def everything(self) -> list[HeldRecord]:
+        """Return all live records."""
+        self._expire()
+        return [held for by_key in self._held.values() for held in by_key.values()]
+
+    def _wins(self, held: HeldRecord) -> bool:
+        record = held.record
+        if held.expires_ms() <= self._clock.now_ms():
+            return False
+        tombstone = self._tombstones.get((record.kind, record.key))
+        if tombstone is not None and record.version <= tombstone.version:
+            return False
+        current = self._held[record.kind].get(record.key)
+        if current is not None:
+            return held.rank > current.rank and self._fits(record)
+        if self._record_count >= self._max_record_count:
+            self._refuse(f"the store holds its maximum of {self._record_count} records")
+            return False
+        return self._fits(record)
+
+    def _fits(self, record: Record) -> bool:
+        if len(record.body) <= MAX_BODY_BYTES:
+            return True
+        self._refuse(f"a record body has {len(record.body)} bytes")
+        return False
+
+    def _refuse(self, reason: str) -> None:
+        self.refused_count += 1
+        # One line for each doubling, so that a full store does not flood the log.
+        if self.refused_count & (self.refused_count - 1) == 0:
+            log.error(f"record refused: {reason}", refused_count=self.refused_count)
+
+    def _insert(self, held: HeldRecord) -> None:
+        record = held.record
+        place = (record.kind, record.key)
+        current = self._held[record.kind].get(record.key)
+        if current is not None:
+            self._take_out(current)
+        self._tombstones.pop(place, None)
+        bucket = _bucket(record.kind, record.key)
+        self._held[record.kind][record.key] = held
+        self._buckets[bucket][place] = held
+        self._digests[bucket] ^= held.fingerprint
+        self._record_count += 1
+        if held.lifetime_ms is not None:
+            self._schedule(held)
+
+    def _take_out(self, held: HeldRecord) -> None:
+        record = held.record
+        bucket = _bucket(record.kind, record.key)
+        del self._held[record.kind][record.key]
+        del self._buckets[bucket][(record.kind, record.key)]
+        self._digests[bucket] ^= held.fingerprint
+        self._record_count -= 1
+
+    def _schedule(self, held: HeldRecord) -> None:
+        heapq.heappush(self._expiries, _expiry(held))
+        # Renewed leases leave stale entries behind; rebuilding bounds the heap.
+        if len(self._expiries) > 2 * self._record_count + 1_000:
+            live = (held for held in self._all_held() if held.lifetime_ms is not None)
+            self._expiries = [_expiry(held) for held in live]
+            heapq.heapify(self._expiries)
+
+    def _all_held(self) -> Iterable[HeldRecord]:
+        return (held for by_key in self._held.values() for held in by_key.values())
+
+    def _expire(self) -> None:
+        now_ms = self._clock.now_ms()
+        while self._expiries and self._expiries[0][0] <= now_ms:
+            _, fingerprint, kind, key = heapq.heappop(self._expiries)
+            held = self._held[kind].get(key)
+            if held is None or held.fingerprint != fingerprint:
+                continue
+            if held.expires_ms() <= now_ms:
+                self._bury(held)
+        self._forget_tombstones(now_ms)
+
+    def _bury(self, held: HeldRecord) -> None:
+        record = held.record
+        self._take_out(held)
+        kept_ms = max(TOMBSTONE_MS, held.lifetime_ms or 0)
+        tombstone = _Tombstone(record.version, self._clock.now_ms() + kept_ms)
+        self._tombstones[(record.kind, record.key)] = tombstone
+
+    def _forget_tombstones(self, now_ms: float) -> None:
+        while self._tombstones:
+            place, oldest = next(iter(self._tombstones.items()))
+            full = len(self._tombstones) > self._max_tombstone_count
+            if not full and oldest.until_ms > now_ms:
+                return
+            del self._tombstones[place]
+
+    def _notify(self, held: HeldRecord, source: Source) -> None:
+        for watcher in tuple(self._watchers):
+            watcher(held, source)
+        for callback in tuple(self._subscribers.get(held.record.kind, ())):
+            try:
+                callback(held.record)
+            except Exception as error:
+                # One faulty subscriber must not keep a record from the others.
+                log.error(
+                    f"a subscriber failed: {error!r}",
+                    record_kind=str(held.record.kind),
+                    key=held.record.key,
+                )
+
+    def _packed_digests(self, size: int) -> bytes:
+        mask = (1 << (8 * size)) - 1
+        return b"".join(
+            (digest & mask).to_bytes(size, "big") for digest in self._digests
+        )
+
+
+def _held(record: Record, arrived_ms: float) -> HeldRecord:
+    lifetime_ms: float | None = record.lifetime_ms
+    if record.kind is Kind.MEMBER and record.content.phase is MemberPhase.GONE:
+        lifetime_ms = GONE_MEMBER_MS if lifetime_ms is None else lifetime_ms
+    own_lifetime_ms = -1 if record.lifetime_ms is None else record.lifetime_ms
+    body_digest = xxhash.xxh3_128_digest(record.body)
+    rank = (record.version, body_digest, record.owner_id, own_lifetime_ms)
+    text = f"{record.kind}\0{record.key}\0{rank}"
+    fingerprint = xxhash.xxh3_64_intdigest(text.encode())
+    return HeldRecord(record, rank, fingerprint, arrived_ms, lifetime_ms)
+
+
+def _expiry(held: HeldRecord) -> tuple[float, int, Kind, str]:
+    record = held.record
+    return held.expires_ms(), held.fingerprint, record.kind, record.key
+
+
+def _bucket(kind: Kind, key: str) -> int:
+    return xxhash.xxh3_64_intdigest(f"{kind}\0{key}".encode()) % BUCKET_COUNT
+
+
+def _packed(fingerprint: int) -> bytes:
+    return fingerprint.to_bytes(FINGERPRINT_BYTES, "big")
+
+
+def _split(fingerprints: bytes) -> Iterable[bytes]:
+    size = FINGERPRINT_BYTES
+    for start in range(0, len(fingerprints), size):
+        yield fingerprints[start : start + size]
--- /dev/null
+++ b/packages/cardamomrun-fleet/tests/builders.py
@@ -0,0 +1,142 @@
+"""Test data, waiting on conditions, and a relay that cuts one direction."""
+
+import asyncio
+import contextlib
+import socket
+import time
+
+from cardamomrun_base.clock import SystemClock
+from cardamomrun_base.model import CrashBody, Kind, Record
+from cardamomrun_base.settings import FleetSettings, NodeSettings, Role
+from cardamomrun_fleet import Fleet
+
+
+def crash(key="k", version=(0, 1), text="a", lifetime_ms=None):
+    body = CrashBody("rota-desk/trial", text, "b1", 1, "e1")
+    return Record.of(Kind.CRASH, key, "e1", version, body, lifetime_ms)
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def node_settings(tmp_path, name, *, seeds=(), domain="kelowna-a", key=b"k" * 32):
+    key_file = tmp_path / f"{name}.key"
+    key_file.write_bytes(key)
+    fleet = FleetSettings(
+        key_file=key_file,
+        seeds=tuple(seeds),
+        ping_ms=100,
+        silence_ms=300,
+        suspicion_ms=500,
+        exchange_ms=100,
+    )
+    return NodeSettings(
+        instance_id=name,
+        region="bc-interior",
+        failure_domain=domain,
+        roles=(Role.ENTRY,),
+        host="127.0.0.1",
+        front_port=1,
+        admin_port=2,
+        peer_port=free_port(),
+        fleet=fleet,
+        announcement_tokens_file=tmp_path / "tokens",
+    )
+
+
+async def until(condition, what, limit_s=8.0):
+    end_s = time.monotonic() + limit_s
+    while not condition():
+        assert time.monotonic() < end_s, f"not reached within {limit_s} s: {what}"
+        await asyncio.sleep(0.01)
+
+
+def member_ids(fleet):
+    return {body.instance_id for body in fleet.members()}
+
+
+async def crash_process(fleet):
+    """End a fleet as a killed process would: no farewell, its connections reset."""
+    fleet._stopping = True
+    fleet._server.close(close_connections=False)
+    tasks = [*fleet._tasks, *fleet._dialers.values()]
+    for task in tasks:
+        task.cancel()
+    for links in list(fleet._links.values()):
+        for link in list(links):
+            link.abort()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
+@contextlib.asynccontextmanager
+async def running(tmp_path, count, *, fleet_class=Fleet):
+    """Start `count` fleets that use the first two as seeds; stop them at the end."""
+    clock = SystemClock()
+    fleets = []
+    try:
+        for number in range(count):
+            seeds = [fleet._settings.peer_address for fleet in fleets[:2]]
+            settings = node_settings(tmp_path, f"n{number}", seeds=seeds)
+            fleets.append(fleet_class(settings, clock))
+            await fleets[-1].start()
+        names = {fleet.instance_id for fleet in fleets}
+        for fleet in fleets:
+            await until(lambda f=fleet: member_ids(f) == names, "all know all members")
+            others = names - {fleet.instance_id}
+            await until(lambda f=fleet, o=others: f.linked_peers() == o, "all linked")
+        yield fleets
+    finally:
+        await asyncio.gather(*(f.stop() for f in fleets), return_exceptions=True)
+
+
+class CuttableFleet(Fleet):
+    """A fleet that reaches named addresses through relays instead."""
+
+    def __init__(self, settings, clock):
+        super().__init__(settings, clock)
+        self.relays = {}
+
+    async def _connect(self, address, purpose):
+        return await super()._connect(self.relays.get(address, address), purpose)
+
+
+class Relay:
+    """Passes bytes between an opener and one address; can drop either direction."""
+
+    def __init__(self, target):
+        self._host, port = target.rsplit(":", 1)
+        self._port = int(port)
+        self.forward = self.backward = True
+        self._writers = []
+        self._tasks = set()
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        return f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+
+    def close(self):
+        self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+
+    async def _serve(self, reader, writer):
+        self._tasks.add(asyncio.current_task())
+        self._writers.append(writer)
+        with contextlib.suppress(OSError):
+            far_reader, far_writer = await asyncio.open_connection(
+                self._host, self._port
+            )
+            self._writers.append(far_writer)
+            await asyncio.gather(
+                self._pass_on(reader, far_writer, lambda: self.forward),
+                self._pass_on(far_reader, writer, lambda: self.backward),
+            )
+
+    async def _pass_on(self, reader, writer, is_open):
+        while data := await reader.read(65_536):
+            if is_open():
+                writer.write(data)
+        writer.close()
