Test the store, the handshake and link failures

Cause: the failure cases of the design had no test. Ruled out: a cut inside production code; a relay in the tests drops one direction of the bytes instead, so that pings are lost as well. Conclusion: the failure rule and catching up behave as the design says.

--- a/packages/cardamomrun-fleet/src/cardamomrun_fleet/fleet.py
+++ b/packages/cardamomrun-fleet/src/cardamomrun_fleet/fleet.py
@@ -182,7 +182,11 @@
         """Return True until a peer answered, and while no known member answers."""
         if self._synced_ms is None:
             return True
-        if all(body.instance_id == self.instance_id for body in self.members()):
+        # Members considered failed count: to an isolated instance all others look so.
+        known = {
+            body.instance_id for body in self.membership.known() if _is_not_gone(body)
+        }
+        if known <= {self.instance_id}:
             return False
         fleet = self._settings.fleet
         limit_ms = fleet.silence_ms + 2 * fleet.exchange_ms
@@ -567,6 +571,10 @@
         task.add_done_callback(self._tasks.discard)
 
 
+def _is_not_gone(body: MemberBody) -> bool:
+    return body.phase is not MemberPhase.GONE
+
+
 def _unreachable(peer_id: InstanceId, reason: str) -> PeerUnreachableError:
     return PeerUnreachableError(
         f"no link to peer {peer_id}: {reason}.",
--- a/packages/cardamomrun-fleet/tests/test_fleet.py
+++ b/packages/cardamomrun-fleet/tests/test_fleet.py
@@ -7,11 +7,15 @@
 
 from cardamomrun_base.clock import SystemClock
 from cardamomrun_base.codec import message
+from cardamomrun_base.errors import PeerTimeoutError, PeerUnreachableError
 from cardamomrun_base.model import Kind
 from cardamomrun_fleet import Fleet
 
 from .builders import (
+    CuttableFleet,
+    Relay,
     crash,
+    crash_process,
     member_ids,
     node_settings,
     running,
@@ -52,3 +56,146 @@
                 await until(lambda f=fleet: "new" not in member_ids(f), "new is gone")
 
     asyncio.run(check())
+
+
+def test_requests_are_answered_time_out_or_find_no_peer(tmp_path):
+    """Guards against lost answers and against a wrong claim that nothing was sent."""
+
+    async def answer(peer_id, content):
+        if content.text == "slow":
+            await asyncio.sleep(5)
+        if content.text == "faulty":
+            raise ValueError
+        return Echo(f"{peer_id}:{content.text}")
+
+    async def check():
+        async with running(tmp_path, 2) as (one, two):
+            two.handle(Echo, answer)
+            texts = [f"{number}" for number in range(50)]
+            requests = [one.request("n1", Echo(t), timeout_ms=2_000) for t in texts]
+            answers = await asyncio.gather(*requests)
+            assert answers == [Echo(f"n0:{text}") for text in texts]
+            for text in ("slow", "faulty"):
+                with pytest.raises(PeerTimeoutError):
+                    await one.request("n1", Echo(text), timeout_ms=100)
+            with pytest.raises(PeerUnreachableError):
+                await one.request("nobody", Echo(""), timeout_ms=100)
+            one.add_address("nobody", "127.0.0.1:9")
+            with pytest.raises(PeerUnreachableError):
+                await one.request("nobody", Echo(""), timeout_ms=500)
+
+    asyncio.run(check())
+
+
+def test_a_peer_with_a_wrong_key_is_refused(tmp_path):
+    """Guards against links with strangers."""
+
+    async def check():
+        async with running(tmp_path, 2) as (one, _):
+            seeds = [one._settings.peer_address]
+            settings = node_settings(tmp_path, "x", seeds=seeds, key=b"x" * 32)
+            stranger = Fleet(settings, SystemClock())
+            await stranger.start()
+            try:
+                assert stranger.may_be_behind()
+                assert one.refusal_counts["wrong"] >= 1
+                assert member_ids(one) == {"n0", "n1"}
+            finally:
+                await stranger.stop()
+
+    asyncio.run(check())
+
+
+def test_a_stopped_peer_is_taken_as_failed_and_returns(tmp_path):
+    """Guards against dead instances in the directory and against lasting verdicts."""
+
+    async def check():
+        async with running(tmp_path, 3) as fleets:
+            one, two, three = fleets
+            await crash_process(three)
+            for fleet in (one, two):
+                gone = {"n0", "n1"}
+                await until(lambda f=fleet, g=gone: member_ids(f) == g, "n2 failed")
+            again = Fleet(three._settings, SystemClock())
+            fleets[2] = again
+            await again.start()
+            assert again.incarnation > three.incarnation
+            for fleet in (one, two):
+                await until(lambda f=fleet: "n2" in member_ids(f), "n2 is back")
+
+    asyncio.run(check())
+
+
+def test_a_one_way_cut_makes_neither_side_failed(tmp_path):
+    """Guards against a single bad path that removes healthy instances."""
+
+    async def check():
+        relays = []
+        async with running(tmp_path, 4, fleet_class=CuttableFleet) as fleets:
+            one, two = fleets[:2]
+            for opener, listener in ((one, two), (two, one)):
+                address = listener._settings.peer_address
+                relay = Relay(address)
+                relays.append(relay)
+                opener.relays[address] = await relay.start()
+            for link in list(one._links["n1"]):
+                link.abort()
+            await until(lambda: "n1" in one.linked_peers(), "relinked by a relay")
+            # Bytes from n0 to n1 are dropped, whoever opened the connection.
+            relays[0].forward = relays[1].backward = False
+            failed = []
+            for fleet in fleets:
+                fleet.membership._take_as_failed = lambda *args: failed.append(args)
+            incarnations = one.incarnation, two.incarnation
+            await until(
+                lambda: (
+                    one.incarnation > incarnations[0]
+                    and two.incarnation > incarnations[1]
+                ),
+                "both sides refuted a suspicion",
+            )
+            end_ms = one._clock.now_ms() + 4 * one._settings.fleet.suspicion_ms
+            await until(lambda: one._clock.now_ms() > end_ms, "four suspicion times")
+            assert failed == []
+            one.store.put(crash("through-others"))
+            await until(lambda: holds(two, "through-others"), "others pass it on")
+            for relay in relays:
+                relay.forward = relay.backward = True
+            await until(lambda: "n1" in one.linked_peers(), "linked again")
+            for relay in relays:
+                relay.close()
+
+    asyncio.run(check())
+
+
+def test_an_old_record_never_replaces_a_new_one_after_reconnecting(tmp_path):
+    """Guards against a peer with old state that reverts the fleet."""
+
+    async def check():
+        relays = []
+        async with running(tmp_path, 2, fleet_class=CuttableFleet) as (one, two):
+            for opener, listener in ((one, two), (two, one)):
+                address = listener._settings.peer_address
+                relay = Relay(address)
+                relays.append(relay)
+                opener.relays[address] = await relay.start()
+                relay.forward = relay.backward = False
+            for link in list(one._links["n1"]):
+                link.abort()
+            await until(lambda: not two.linked_peers(), "cut")
+            two.store.put(crash(version=(0, 1), text="old"))
+            one.store.put(crash(version=(0, 2), text="new"))
+            seen = []
+            one.store.subscribe(Kind.CRASH, seen.append)
+            two.store.subscribe(Kind.CRASH, seen.append)
+            await until(two.may_be_behind, "n1 knows that it may be behind")
+            for relay in relays:
+                relay.forward = relay.backward = True
+            await until(lambda: holds(two, "k", "new"), "the new record", 15)
+            await until(lambda: not two.may_be_behind(), "n1 is current")
+            assert holds(one, "k", "new")
+            assert [record.content.fingerprint for record in seen] == ["new"]
+            for relay in relays:
+                relay.close()
+
+    asyncio.run(check())
