Bound batches and queues; keep links through unknown messages

Ruled out: not flooding what an exchange brought, which would slow down the passing on of changes after a partition.

--- a/packages/cardamomrun-fleet/src/cardamomrun_fleet/exchange.py
+++ b/packages/cardamomrun-fleet/src/cardamomrun_fleet/exchange.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
-from cardamomrun_base.codec import CodecError, decode, encode, message
+from cardamomrun_base.codec import CodecError, decode, message
 from cardamomrun_base.logs import PartLog
 from cardamomrun_base.model import InstanceId, Record
 from cardamomrun_fleet.store import HeldRecord, Store
@@ -19,8 +19,9 @@
     "merge_batch",
 ]
 
-# Small enough that pings pass between the batches of a snapshot.
-BATCH_BYTES = 256_000
+# About 100 records: encoding or merging a batch holds the event loop for a few
+# milliseconds at most, because requests of callers share the loop.
+BATCH_BYTES = 16_000
 
 log = PartLog("fleet")
 
@@ -80,7 +81,7 @@
     batch: list[tuple[bytes, int]] = []
     size = 0
     for one in held:
-        data = encode(one.record)
+        data = one.encoded
         age_ms = 0 if one.lifetime_ms is None else one.age_ms(now_ms)
         if batch and size + len(data) > BATCH_BYTES:
             yield RecordBatch(tuple(batch))
--- a/packages/cardamomrun-fleet/src/cardamomrun_fleet/fleet.py
+++ b/packages/cardamomrun-fleet/src/cardamomrun_fleet/fleet.py
@@ -105,6 +105,8 @@
         self._unflooded: list[tuple[HeldRecord, Source]] = []
         self._pulled: set[InstanceId] = set()
         self._synced_ms: float | None = None
+        self._caught_up = False
+        self._started = False
         self._changed = asyncio.Event()
         self._wanted_basis: Any = None
         self._stopping = False
@@ -148,6 +150,8 @@
             ) from error
         self._spawn(self._maintain())
         await self._wait_for_snapshots()
+        self._started = True
+        self._caught_up = bool(self._pulled)
         self.membership.publish()
         self._spawn(self._exchange_regularly())
 
@@ -287,15 +291,19 @@
     async def _stream(self, link: Link, held: list[HeldRecord]) -> None:
         for batch in batches(held, self._clock.now_ms()):
             await link.stream(batch)
+            await asyncio.sleep(0)
 
     # Flooding and exchange
 
     def _record_won(self, held: HeldRecord, source: Source) -> None:
-        if not self._unflooded and self._server is not None:
+        # Until it has caught up, an instance has nothing to tell from its peers; it
+        # would send whole snapshots back into the fleet.
+        if self._server is None or (source is not None and not self._caught_up):
+            return
+        if not self._unflooded:
             # Changes of the same loop turn leave in one message.
             asyncio.get_running_loop().call_soon(self._flood)
-        if self._server is not None:
-            self._unflooded.append((held, source))
+        self._unflooded.append((held, source))
 
     def _flood(self) -> None:
         changes, self._unflooded = self._unflooded, []
@@ -328,6 +336,7 @@
             await link.request(SnapshotRequest(), timeout_ms=SNAPSHOT_TIMEOUT_MS)
             self._pulled.add(link.peer_id)
             self._synced_ms = self._clock.now_ms()
+            self._caught_up = self._started
 
     async def _exchange_regularly(self) -> None:
         while True:
--- a/packages/cardamomrun-fleet/src/cardamomrun_fleet/links.py
+++ b/packages/cardamomrun-fleet/src/cardamomrun_fleet/links.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import itertools
+import logging
 import ssl
 from collections import deque
 from collections.abc import Awaitable, Callable
@@ -45,7 +46,8 @@
 # are pinged rarely; a time-out without any traffic closes them instead.
 REQUEST_PING_MS = 20_000
 MAX_MESSAGE_BYTES = 16_000_000
-SEND_QUEUE_BYTES = 20_000_000
+# The queues of about 8 overlay links must fit into 128 MB with everything else.
+SEND_QUEUE_BYTES = 4_000_000
 SEND_QUEUE_COUNT = 4_096
 STREAM_QUEUE_BYTES = 500_000
 MAX_RUNNING_REQUESTS = 256
@@ -60,6 +62,12 @@
 
 log = PartLog("fleet")
 
+# The library logs each failed handshake with a traceback; standard error carries one
+# JSON object a line, and this module logs what matters.
+_library_log = logging.getLogger("cardamomrun.websockets")
+_library_log.addHandler(logging.NullHandler())
+_library_log.propagate = False
+
 
 class Purpose(StrEnum):
     """What a link is for; the opener names it in the request path."""
@@ -209,7 +217,9 @@
             return False
         frame = encode(Envelope(kind, correlation, body))
         queue_bytes = self._queue_bytes + len(frame)
-        if queue_bytes > SEND_QUEUE_BYTES or len(self._queue) >= SEND_QUEUE_COUNT:
+        # One message may exceed the limit alone, or it could never be sent.
+        is_full = bool(self._queue) and queue_bytes > SEND_QUEUE_BYTES
+        if is_full or len(self._queue) >= SEND_QUEUE_COUNT:
             self._counters.slow_peer_count += 1
             log.warning(
                 "link closed: the peer does not read fast enough",
@@ -252,7 +262,13 @@
         envelope = decode(frame)
         if not isinstance(envelope, Envelope):
             return
-        content = decode(envelope.body) if envelope.body else None
+        try:
+            content = decode(envelope.body) if envelope.body else None
+        except CodecError as error:
+            # A peer of another release may send messages that are not known here.
+            log.warning(f"message not understood: {error}", peer_id=self.peer_id)
+            self._refuse(envelope)
+            return
         if envelope.kind == ONE_WAY:
             take(self, content)
         elif envelope.kind == REQUEST:
@@ -260,6 +276,12 @@
         else:
             self._settle(envelope, content)
 
+    def _refuse(self, envelope: Envelope) -> None:
+        if envelope.kind == REQUEST:
+            self._send(FAILURE, envelope.correlation, b"")
+        elif envelope.kind == ANSWER:
+            self._settle(Envelope(FAILURE, envelope.correlation, b""), None)
+
     def _start_answer(
         self,
         correlation: int,
@@ -405,6 +427,7 @@
     return {
         # Compression costs more processor time than these small messages save.
         "compression": None,
+        "logger": _library_log,
         "max_size": MAX_MESSAGE_BYTES,
         "open_timeout": OPEN_TIMEOUT_MS / MS_PER_S,
         "close_timeout": CLOSE_TIMEOUT_MS / MS_PER_S,
--- a/packages/cardamomrun-fleet/src/cardamomrun_fleet/membership.py
+++ b/packages/cardamomrun-fleet/src/cardamomrun_fleet/membership.py
@@ -280,9 +280,29 @@
 
     def _take_as_failed(self, instance_id: InstanceId, incarnation: int) -> None:
         log.warning("member failed", peer_id=instance_id, incarnation=incarnation)
-        self._failed[instance_id] = _Mark(incarnation, self._clock.now_ms())
+        self._failed[instance_id] = _Mark(
+            incarnation, self._first_suspected_ms(instance_id, incarnation)
+        )
         self.change_count += 1
 
+    def _first_suspected_ms(self, instance_id: InstanceId, incarnation: int) -> float:
+        """Return when the oldest suspicion was written.
+
+        Counting from there, all instances drop the record at about the same time. An
+        instance that kept it longer would offer it to the others at each exchange.
+        """
+        arrivals = [self._clock.now_ms()]
+        for record in self._store.all(Kind.SUSPICION):
+            body: SuspicionBody = record.content
+            arrived_ms = self._store.arrived_ms(record.kind, record.key)
+            if (
+                body.active
+                and (body.instance_id, body.incarnation) == (instance_id, incarnation)
+                and arrived_ms is not None
+            ):
+                arrivals.append(arrived_ms)
+        return min(arrivals)
+
     def _drop_long_failed(self) -> None:
         now_ms = self._clock.now_ms()
         for instance_id, mark in list(self._failed.items()):
--- a/packages/cardamomrun-fleet/src/cardamomrun_fleet/store.py
+++ b/packages/cardamomrun-fleet/src/cardamomrun_fleet/store.py
@@ -3,11 +3,13 @@
 import heapq
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from functools import cached_property
 from typing import Any
 
 import xxhash
 
 from cardamomrun_base.clock import Clock
+from cardamomrun_base.codec import encode
 from cardamomrun_base.logs import PartLog
 from cardamomrun_base.model import Kind, MemberPhase, Record
 
@@ -23,7 +25,7 @@
 # The target scale needs about 5,000 records; a few KB each stay far below 128 MB.
 MAX_RECORD_COUNT = 50_000
 MAX_TOMBSTONE_COUNT = 50_000
-MAX_BODY_BYTES = 8_000_000
+MAX_BODY_BYTES = 4_000_000
 
 log = PartLog("fleet")
 
@@ -40,6 +42,11 @@
     arrived_ms: float
     lifetime_ms: float | None
 
+    @cached_property
+    def encoded(self) -> bytes:
+        """The form on the wire, made once for all links and exchanges."""
+        return encode(self.record)
+
     def age_ms(self, now_ms: float) -> int:
         """Return the time since the record was written, as far as it is known here."""
         return max(0, int(now_ms - self.arrived_ms))
@@ -96,6 +103,12 @@
         held = self._held[kind].get(key)
         return held.record if held else None
 
+    def arrived_ms(self, kind: Kind, key: str) -> float | None:
+        """Return when a live record was written, on the local clock."""
+        self._expire()
+        held = self._held[kind].get(key)
+        return held.arrived_ms if held else None
+
     def all(self, kind: Kind) -> list[Record]:
         """Return all live records of a kind."""
         self._expire()
