Add the request path from front door to backend server

Cause: callers need one front door that streams requests to backend servers and says for each whether it was run.

Change: modules for routing, admission, retries, deadlines, upstream pools, the answer to the caller, the exchange of one request, metrics and the listener; scripted backend server and fault tables for answers.

--- /dev/null
+++ b/packages/cardamomrun-requests/src/cardamomrun_requests/background.py
@@ -0,0 +1,35 @@
+"""Tasks that outlive the request that started them."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+from cardamomrun_base.logs import PartLog
+
+__all__ = ["Background"]
+
+_log = PartLog("front")
+
+
+class Background:
+    """Keeps tasks alive until they end, so that a stop can wait for them."""
+
+    def __init__(self) -> None:
+        self._tasks: set[asyncio.Task[Any]] = set()
+
+    def spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        """Start a task; an error that nobody awaits is logged."""
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._ended)
+        return task
+
+    async def wait(self) -> None:
+        """Wait until all tasks have ended."""
+        while self._tasks:
+            await asyncio.wait(self._tasks)
+
+    def _ended(self, task: asyncio.Task[Any]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            _log.error("a background task failed", error=repr(task.exception()))
--- /dev/null
+++ b/packages/cardamomrun-requests/src/cardamomrun_requests/front_door.py
@@ -0,0 +1,299 @@
+"""The listener for callers."""
+
+import asyncio
+import contextlib
+import errno
+import weakref
+from collections.abc import Callable
+from typing import Any, Protocol
+from urllib.parse import parse_qsl
+
+from tornado.http1connection import HTTP1Connection
+from tornado.httpserver import HTTPServer
+from tornado.httputil import (
+    HTTPConnection,
+    HTTPHeaders,
+    HTTPInputError,
+    HTTPMessageDelegate,
+    HTTPServerConnectionDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+)
+from tornado.iostream import IOStream, StreamClosedError
+
+from cardamomrun_base import headers as names
+from cardamomrun_base.clock import Clock
+from cardamomrun_base.errors import AddressInUseError
+from cardamomrun_base.interfaces import Backends, Claims, Environments, Quarantine
+from cardamomrun_base.logs import PartLog
+from cardamomrun_base.outcomes import Done, NotRun
+from cardamomrun_base.settings import NodeSettings
+from cardamomrun_requests.body_channel import BodyChannel
+from cardamomrun_requests.exchange import Exchange, RequestPath
+from cardamomrun_requests.framing import body_length
+from cardamomrun_requests.reply import Reply
+from cardamomrun_requests.request import CallerRequest, RequestBody, request_id_of
+from cardamomrun_requests.routing import Router
+from cardamomrun_requests.upstream import UNBOUNDED_BYTES
+
+__all__ = ["Directory", "FrontDoor"]
+
+BACKLOG_COUNT = 1_024
+CHUNK_BYTES = 65_536
+MAX_HEAD_BYTES = 65_536
+# Bounds what one connection holds of requests that are not read yet.
+MAX_BUFFER_BYTES = 262_144
+IDLE_S = 60.0
+SWEEP_MS = 1_000
+# For callers that read the end of their answer slowly during a stop.
+FLUSH_S = 5.0
+
+_log = PartLog("front")
+
+
+class Directory(Protocol):
+    """Answers which addresses callers should use."""
+
+    def answer(self, query: dict[str, str]) -> tuple[int, bytes]:
+        """Return status and JSON."""
+
+
+class FrontDoor:
+    """Accepts callers' requests and runs each in a task of its own."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        clock: Clock,
+        environments: Environments,
+        backends: Backends,
+        claims: Claims,
+        quarantine: Quarantine,
+        directory: Directory,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._path = RequestPath(
+            clock, Router(environments), backends, claims, quarantine
+        )
+        self._directory = directory
+        self._callers = _Callers(self)
+        self._server = _Server(
+            self._callers,
+            chunk_size=CHUNK_BYTES,
+            max_header_size=MAX_HEAD_BYTES,
+            max_buffer_size=MAX_BUFFER_BYTES,
+            idle_connection_timeout=IDLE_S,
+        )
+        self._exchanges = self._path.background
+        self._sweeper: asyncio.Task[None] | None = None
+        self.leaving = False
+
+    async def start(self) -> None:
+        """Listen on the front address. Raises `AddressInUseError`."""
+        settings = self._settings
+        try:
+            self._server.listen(
+                settings.front_port, str(settings.host), backlog=BACKLOG_COUNT
+            )
+        except OSError as error:
+            reason = (
+                "is in use" if error.errno == errno.EADDRINUSE else "cannot be opened"
+            )
+            raise AddressInUseError(
+                f"The front address {settings.front_address} {reason}.",
+                remedy="end the other process or change host or front_port",
+            ) from error
+        self._sweeper = asyncio.create_task(self._sweep())
+        _log.info("listening", address=settings.front_address)
+
+    async def stop(self) -> None:
+        """Stop gracefully; returns when no request is in flight."""
+        self.leaving = True
+        _log.info("leaving", directory_ttl_ms=self._settings.directory_ttl_ms)
+        await self._clock.sleep_ms(self._settings.directory_ttl_ms)
+        self._server.stop()
+        self._callers.close_idle()
+        await self._exchanges.wait()
+        await self._server.wait_closed(FLUSH_S)
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+        self._path.pools.close()
+        _log.info("all requests have ended")
+
+    def begin(self, request: CallerRequest, reply: Reply) -> "asyncio.Task[None]":
+        """Start the task of a request."""
+        if request.path.startswith(names.RESERVED_PREFIX):
+            return self._exchanges.spawn(self._answer_reserved(request, reply))
+        return self._exchanges.spawn(Exchange(self._path, request, reply).run())
+
+    def reply(
+        self,
+        connection: HTTP1Connection,
+        request: CallerRequest,
+        close_after: Callable[[], None],
+    ) -> Reply:
+        """Return the answer to a request, not started yet."""
+        return Reply(connection, request, self._settings.instance_id, close_after)
+
+    async def _answer_reserved(self, request: CallerRequest, reply: Reply) -> None:
+        try:
+            if request.path == names.ADDRESSES_PATH and request.method == "GET":
+                query = dict(parse_qsl(request.query))
+                status, body = self._directory.answer(query)
+                await reply.send(Done(status), status, body)
+            else:
+                outcome = NotRun(
+                    "No such path.", "docs/interfaces.md lists the paths", 404
+                )
+                await reply.send_error(outcome, "not-found")
+            await reply.finish()
+        except (StreamClosedError, asyncio.CancelledError):
+            reply.cut()
+        finally:
+            request.body.discard()
+
+    async def _sweep(self) -> None:
+        while True:
+            await self._clock.sleep_ms(SWEEP_MS)
+            self._path.pools.sweep()
+
+
+class _Server(HTTPServer):
+    """tornado's server, which can wait for its connections to end by themselves."""
+
+    def initialize(self, *args: Any, **kwargs: Any) -> None:
+        super().initialize(*args, **kwargs)
+        self._open_count = 0
+        self._changed = asyncio.Event()
+
+    def handle_stream(self, stream: IOStream, address: tuple) -> None:
+        self._open_count += 1
+        super().handle_stream(stream, address)
+
+    def on_close(self, server_conn: object) -> None:
+        super().on_close(server_conn)
+        self._open_count -= 1
+        self._changed.set()
+
+    async def wait_closed(self, limit_s: float) -> None:
+        """Wait until no connection is open, at most `limit_s`."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(limit_s):
+                while self._open_count:
+                    self._changed.clear()
+                    await self._changed.wait()
+
+
+class _Callers(HTTPServerConnectionDelegate):
+    """The connections of callers."""
+
+    def __init__(self, front: FrontDoor) -> None:
+        self._front = front
+        self._idle: weakref.WeakSet[_CallerMessage] = weakref.WeakSet()
+        self._closing: weakref.WeakSet[object] = weakref.WeakSet()
+        self._closed = False
+
+    def start_request(
+        self, server_conn: object, request_conn: HTTPConnection
+    ) -> HTTPMessageDelegate:
+        assert isinstance(request_conn, HTTP1Connection)
+        message = _CallerMessage(self._front, self, server_conn, request_conn)
+        if self._closed or server_conn in self._closing:
+            request_conn.close()
+        else:
+            self._idle.add(message)
+        return message
+
+    def busy(self, message: "_CallerMessage") -> None:
+        """Note that a request arrived."""
+        self._idle.discard(message)
+
+    def close_after(self, server_conn: object) -> None:
+        """Close a connection once its present request is answered."""
+        self._closing.add(server_conn)
+
+    def close_idle(self) -> None:
+        """Close idle connections now and the others after their present request."""
+        self._closed = True
+        for message in list(self._idle):
+            message.connection.close()
+
+
+class _CallerMessage(HTTPMessageDelegate):
+    """One request of a caller while it arrives."""
+
+    def __init__(
+        self,
+        front: FrontDoor,
+        callers: _Callers,
+        server_conn: object,
+        connection: HTTP1Connection,
+    ) -> None:
+        self.connection = connection
+        self._front = front
+        self._callers = callers
+        self._server_conn = server_conn
+        self._channel = BodyChannel()
+        self._task: asyncio.Task[None] | None = None
+
+    async def headers_received(
+        self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
+    ) -> None:
+        assert isinstance(start_line, RequestStartLine)
+        self._callers.busy(self)
+        fault = None
+        length: int | None = 0
+        try:
+            length = body_length(headers)
+            if length is None and "Transfer-Encoding" not in headers:
+                length = 0
+        except HTTPInputError as error:
+            fault = str(error)
+        context = self.connection.context
+        request = CallerRequest(
+            method=start_line.method,
+            target=start_line.path,
+            version=start_line.version,
+            headers=headers,
+            body=RequestBody(self._channel, length),
+            remote_ip=getattr(context, "remote_ip", ""),
+            request_id=request_id_of(headers),
+        )
+        reply = self._front.reply(self.connection, request, self._close_after)
+        if fault is not None:
+            await self._refuse(reply, fault)
+            return
+        if self._front.leaving:
+            reply.leaving = True
+        # The route bounds the body; tornado would answer without an outcome.
+        self.connection.set_max_body_size(UNBOUNDED_BYTES)
+        self.connection.set_close_callback(self._caller_left)
+        self._task = self._front.begin(request, reply)
+
+    async def data_received(self, chunk: bytes) -> None:
+        await self._channel.put(chunk)
+
+    def finish(self) -> None:
+        self._channel.end(whole=True)
+
+    def on_connection_close(self) -> None:
+        self._channel.end(whole=False)
+        self._caller_left()
+
+    def _caller_left(self) -> None:
+        if self._task is not None:
+            self._task.cancel()
+
+    def _close_after(self) -> None:
+        self._callers.close_after(self._server_conn)
+
+    async def _refuse(self, reply: Reply, fault: str) -> None:
+        """Answer a request whose end cannot be found, and close the connection."""
+        outcome = NotRun(
+            f"The request is malformed: {fault}.", "send one form of body length", 400
+        )
+        await reply.send_error(outcome, "malformed")
+        self._channel.end(whole=False)
+        self.connection.finish()
+        self.connection.close()
--- /dev/null
+++ b/packages/cardamomrun-requests/src/cardamomrun_requests/request.py
@@ -0,0 +1,154 @@
+"""A caller's request: its head, and its body as it arrives."""
+
+import hashlib
+import re
+import secrets
+from dataclasses import dataclass
+
+from tornado.httputil import HTTPHeaders
+
+from cardamomrun_base import headers as names
+from cardamomrun_requests.body_channel import BodyChannel
+
+__all__ = ["KEPT_BYTES", "BodyTooLargeError", "CallerRequest", "RequestBody"]
+
+# Bodies up to this size can be sent again, and are hashed whole.
+KEPT_BYTES = 65_536
+REQUEST_ID = re.compile(r"[A-Za-z0-9._-]{1,64}")
+
+
+class BodyTooLargeError(Exception):
+    """The body is larger than the route allows."""
+
+
+class RequestBody:
+    """The body of a request; its first 64 KB are kept until more of it was sent.
+
+    `length` is the length in bytes, or None while it is not known.
+    """
+
+    def __init__(self, channel: BodyChannel, length: int | None) -> None:
+        self.length = length
+        self.max_bytes = 0
+        self._channel = channel
+        self._kept = b""
+        self._prefix = b""
+        self._read_bytes = 0
+        self._resendable = True
+
+    @property
+    def prefix(self) -> bytes:
+        """The first 64 KB, once `read_prefix` has returned."""
+        return self._prefix
+
+    @property
+    def resendable(self) -> bool:
+        """True while the body can be sent from its start."""
+        return self._resendable
+
+    async def read_prefix(self) -> None:
+        """Read up to the end or the first 64 KB, whichever comes first."""
+        if self.length is not None and self.length > self.max_bytes:
+            raise BodyTooLargeError
+        kept = bytearray()
+        while len(kept) < KEPT_BYTES:
+            chunk = await self._next_chunk()
+            if chunk is None:
+                self.length = len(kept)
+                break
+            kept += chunk
+        self._kept = bytes(kept)
+        self._prefix = self._kept[:KEPT_BYTES]
+
+    def first(self) -> bytes:
+        """Return the part that was read ahead, to be sent with the head."""
+        return self._kept
+
+    async def next(self) -> bytes | None:
+        """Return the part after `first` and earlier calls, or None at the end."""
+        chunk = await self._next_chunk()
+        if chunk is not None:
+            self._resendable = False
+            self._kept = b""
+        return chunk
+
+    def discard(self) -> None:
+        """Drop what has not been read yet."""
+        self._channel.discard()
+
+    @property
+    def ended(self) -> bool:
+        """True once the caller has sent the whole body."""
+        return self._channel.ended
+
+    async def wait_ended(self) -> None:
+        """Wait until the caller has sent the whole body or left."""
+        await self._channel.wait_ended()
+
+    async def _next_chunk(self) -> bytes | None:
+        chunk = await self._channel.get()
+        self._read_bytes += len(chunk or b"")
+        if self._read_bytes > self.max_bytes:
+            raise BodyTooLargeError
+        return chunk
+
+
+@dataclass(frozen=True)
+class CallerRequest:
+    """A request as the caller sent it."""
+
+    method: str
+    target: str
+    version: str
+    headers: HTTPHeaders
+    body: RequestBody
+    remote_ip: str
+    request_id: str
+
+    @property
+    def path(self) -> str:
+        """The path without the query."""
+        return self.target.partition("?")[0]
+
+    @property
+    def query(self) -> str:
+        """The query without the question mark."""
+        return self.target.partition("?")[2]
+
+    def customer(self, header: str) -> str:
+        """Return the customer named by a header, or an empty text."""
+        return self.headers.get(header, "")
+
+    def request_hash(self) -> str:
+        """Return the hash that tells whether a key was used for another request."""
+        return hash_parts(self.method, self.path, self.query, self.body.prefix)
+
+    def fingerprint(self, environment: str, customer: str) -> str:
+        """Return the hash by which a request that crashes servers is known."""
+        key = self.headers.get(names.IDEMPOTENCY_KEY)
+        scope = (environment, self.method, self.path, self.query, customer)
+        if key is not None:
+            return hash_parts(*scope, "key", key)
+        return hash_parts(*scope, "body", self.body.prefix)
+
+
+def hash_parts(*parts: str | bytes) -> str:
+    """Return the SHA-256 of the parts in hexadecimal, each preceded by its length.
+
+    >>> hash_parts("a", "bc") == hash_parts("ab", "c")
+    False
+    """
+    digest = hashlib.sha256()
+    for part in parts:
+        data = (
+            part.encode("utf-8", "surrogateescape") if isinstance(part, str) else part
+        )
+        digest.update(len(data).to_bytes(8, "big"))
+        digest.update(data)
+    return digest.hexdigest()
+
+
+def request_id_of(headers: HTTPHeaders) -> str:
+    """Return the caller's request id if it is well formed, or a new one."""
+    given = headers.get(names.REQUEST_ID, "")
+    return given if REQUEST_ID.fullmatch(given) else secrets.token_hex(8)
--- /dev/null
+++ b/packages/cardamomrun-requests/tests/test_answers.py
@@ -0,0 +1,162 @@
+"""Whole answers, and the caller's own ones only."""
+
+import asyncio
+
+import pytest
+
+from cardamomrun_base.interfaces import AttemptResult
+
+from .builders import ScriptedServer, Step, front_door, ok, parse, request
+
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+CUT = b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf"
+
+# Step, method, status, outcome, body as sent on the wire, evidence. The body None
+# stands for any part of a chunked body without its last chunk.
+ANSWERS = {
+    "whole": (Step(ok()), "GET", 200, "done", b"ok", "good"),
+    "chunked": (
+        Step(CHUNKED + b"2\r\nok\r\n0\r\n\r\n"),
+        *("GET", 200, "done", b"2\r\nok\r\n0\r\n\r\n", "good"),
+    ),
+    "cut with length": (Step(CUT, "close"), "GET", 200, "done", b"half", "failed"),
+    "cut chunked": (
+        Step(CHUNKED + b"4\r\nhalf\r\n", "close"),
+        *("GET", 200, "done", None, "failed"),
+    ),
+    "bad chunk": (
+        Step(CHUNKED + b"4\r\nhalf\r\nzz\r\n"),
+        *("GET", 200, "done", None, "failed"),
+    ),
+    "ended by close": (
+        Step(b"HTTP/1.0 200 OK\r\n\r\nok", "close"),
+        *("GET", 200, "done", b"ok", "good"),
+    ),
+    "informational": (
+        Step(b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + ok()),
+        *("GET", 200, "done", b"ok", "good"),
+    ),
+    "head": (
+        Step(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n"),
+        *("HEAD", 200, "done", b"", "good"),
+    ),
+    "no content": (
+        Step(b"HTTP/1.1 204 No Content\r\n\r\n"),
+        *("GET", 204, "done", b"", "good"),
+    ),
+    "not modified": (
+        Step(b"HTTP/1.1 304 Not Modified\r\nContent-Length: 9\r\n\r\n"),
+        *("GET", 304, "done", b"", "good"),
+    ),
+    "server error": (
+        Step(b"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n"),
+        *("POST", 500, "done", b"", "failed"),
+    ),
+}
+# Answers without a usable head; each is a failed attempt with unknown outcome.
+NO_HEAD = {
+    "malformed": Step(b"HTTP/1.1 abc\r\n\r\n"),
+    "two framings": Step(
+        b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+    ),
+    "differing lengths": Step(
+        b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nxx"
+    ),
+    "switching": Step(b"HTTP/1.1 101 Switching Protocols\r\n\r\n"),
+    "oversized": Step(b"HTTP/1.1 200 OK\r\nX: " + b"x" * 70_000 + b"\r\n\r\n"),
+}
+
+
+@pytest.mark.parametrize("name", ANSWERS)
+def test_answer_reaches_the_caller_with_its_own_framing(name):
+    """Guards against a cut answer that ends cleanly and bodies where none belong."""
+    step, method, status, outcome, body, evidence = ANSWERS[name]
+
+    async def main():
+        async with front_door(ScriptedServer([step])) as fixture:
+            received = await fixture.call(method)
+            assert (received.status, received.outcome) == (status, outcome)
+            if body is None:
+                assert not received.body.endswith(b"0\r\n\r\n")
+                assert (b"4\r\nhalf\r\n").startswith(received.body)
+            else:
+                assert received.body == body
+        assert fixture.backends.results == [AttemptResult(evidence)]
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("name", NO_HEAD)
+def test_unusable_answer_head_is_a_failed_attempt(name):
+    """Guards against an answer made of bytes that two parsers read differently."""
+
+    async def main():
+        server = ScriptedServer([NO_HEAD[name]])
+        async with front_door(server) as fixture:
+            received = await fixture.call("POST", body=b"x")
+            assert (received.status, received.outcome) == (502, "unknown")
+        assert fixture.backends.results == [AttemptResult.FAILED]
+        assert len(server.heads) == 1
+
+    asyncio.run(main())
+
+
+def test_reset_of_an_answer_without_length_resets_the_caller():
+    """Guards against a reset that looks like the proper end of the body."""
+    step = Step(b"HTTP/1.0 200 OK\r\n\r\nhalf", "reset")
+
+    async def main():
+        async with front_door(ScriptedServer([step])) as fixture:
+            reader, writer = await fixture.connect()
+            writer.write(request())
+            with pytest.raises(ConnectionResetError):
+                await reader.read()
+            writer.close()
+
+    asyncio.run(main())
+
+
+# What the first answer leaves behind; the next caller must not receive it.
+LEFT_OVER = {
+    "surplus": [Step(ok(b"1") + ok(b"stolen")), Step(ok(b"2"))],
+    "late": [Step(b"", "hang"), Step(ok(b"2"))],
+    "early": [Step(ok(b"1"), early=True), Step(ok(b"2"))],
+    "closing": [
+        Step(b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 1\r\n\r\n1"),
+        Step(ok(b"2")),
+    ],
+}
+
+
+@pytest.mark.parametrize("name", LEFT_OVER)
+def test_connection_with_remains_of_an_answer_is_not_reused(name):
+    """Guards against an answer that reaches the wrong caller."""
+
+    async def main():
+        server = ScriptedServer(LEFT_OVER[name])
+        async with front_door(server) as fixture:
+            reader, writer = await fixture.connect()
+            if name == "early":
+                writer.write(request("POST", content_length="200000") + b"x" * 70_000)
+            else:
+                writer.write(request("POST"))
+            first = parse(await reader.read())
+            writer.close()
+            assert first.outcome == ("unknown" if name == "late" else "done")
+            assert (await fixture.call("POST")).body == b"2"
+        assert server.connection_count == 2
+
+    asyncio.run(main())
+
+
+def test_connection_is_reused_after_a_whole_answer():
+    """Guards against a pool that never reuses, which exhausts servers' connections."""
+
+    async def main():
+        server = ScriptedServer([Step(ok())])
+        async with front_door(server) as fixture:
+            for _ in range(3):
+                assert (await fixture.call("POST", body=b"x")).status == 200
+        assert server.connection_count == 1
+
+    asyncio.run(main())
