Wait for the check of a death before a retry, and test runs and load

Cause: a retry of an idempotent request started while the check whether the first server had died of it was still running, so one request could crash every server that it met. tornado's own 400 for a malformed chunk had no outcome, and could follow a part of another answer on the same connection.

Ruled out: deciding every failed attempt before the caller is answered; only a retry after a death has to wait.

Change: a retry waits for the decision and checks the quarantine again; the caller's stream replaces tornado's refusal by an answer with an outcome, or closes when an answer may have begun.

--- a/packages/cardamomrun-requests/src/cardamomrun_requests/exchange.py
+++ b/packages/cardamomrun-requests/src/cardamomrun_requests/exchange.py
@@ -154,6 +154,7 @@
         self._maybe_run = False
         self._won: Won | None = None
         self._done_status: int | None = None
+        self._deciding: asyncio.Task[None] | None = None
         self._environment_name = "none"
         self._environment: Environment
         self._route: Route
@@ -435,9 +436,16 @@
                 tried.add(server.server_id)
             if not failure.may_retry:
                 break
+            await self._wait_decided()
             self._check_quarantine()
         raise self._failed(failure)
 
+    async def _wait_decided(self) -> None:
+        """Wait for the check of a death, which may quarantine this request."""
+        if self._deciding is not None:
+            await asyncio.wait({self._deciding})
+            self._deciding = None
+
     def _check_quarantine(self) -> None:
         if self._path.quarantine.is_quarantined(
             self._environment_name, self._fingerprint()
@@ -674,7 +682,9 @@
         if evidence.check is _Check.NONE:
             self._report(attempt, evidence)
         else:
-            self._path.background.spawn(self._decide(attempt, evidence))
+            task = self._path.background.spawn(self._decide(attempt, evidence))
+            if evidence.check is _Check.DIED:
+                self._deciding = task
 
     async def _decide(self, attempt: Attempt, evidence: _Evidence) -> None:
         """Find out by a fresh connection whether the server is to be charged."""
--- a/packages/cardamomrun-requests/src/cardamomrun_requests/front_door.py
+++ b/packages/cardamomrun-requests/src/cardamomrun_requests/front_door.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import errno
+import json
 import weakref
 from collections.abc import Callable
 from typing import Any, Protocol
@@ -44,6 +45,7 @@
 # Bounds what one connection holds of requests that are not read yet.
 MAX_BUFFER_BYTES = 262_144
 IDLE_S = 60.0
+TORNADO_REFUSAL = b"HTTP/1.1 400 Bad Request\r\n\r\n"
 SWEEP_MS = 1_000
 # For callers that read the end of their answer slowly during a stop.
 FLUSH_S = 5.0
@@ -169,7 +171,11 @@
 
     def handle_stream(self, stream: IOStream, address: tuple) -> None:
         self._open_count += 1
-        super().handle_stream(stream, address)
+        # The stream given has not registered with the loop yet.
+        caller_stream = _CallerStream(
+            stream.socket, MAX_BUFFER_BYTES, read_chunk_size=CHUNK_BYTES
+        )
+        super().handle_stream(caller_stream, address)
 
     def on_close(self, server_conn: object) -> None:
         super().on_close(server_conn)
@@ -185,6 +191,43 @@
                     await self._changed.wait()
 
 
+class _CallerStream(IOStream):
+    """Replaces the answer that tornado itself gives to malformed requests.
+
+    That answer has no outcome. During a request it could also follow a part of
+    another answer, and the caller would take it for the rest of that one.
+    """
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self.in_request = False
+
+    def write(self, data: bytes | memoryview) -> asyncio.Future[None]:
+        if data == TORNADO_REFUSAL:
+            if self.in_request:
+                self.close()
+                raise StreamClosedError
+            data = _malformed_head_answer()
+        return super().write(data)
+
+
+def _malformed_head_answer() -> bytes:
+    content = {
+        "error": "malformed",
+        "outcome": "not-run",
+        "message": "The request head is malformed.",
+        "remedy": "send HTTP/1.1",
+        "request_id": request_id_of(HTTPHeaders()),
+    }
+    body = json.dumps(content).encode()
+    head = (
+        "HTTP/1.1 400 Bad Request\r\nContent-Type: application/json\r\n"
+        f"{names.OUTCOME}: not-run\r\n{names.REQUEST_ID}: {content['request_id']}\r\n"
+        f"Connection: close\r\nContent-Length: {len(body)}\r\n\r\n"
+    )
+    return head.encode() + body
+
+
 class _Callers(HTTPServerConnectionDelegate):
     """The connections of callers."""
 
@@ -199,6 +242,7 @@
     ) -> HTTPMessageDelegate:
         assert isinstance(request_conn, HTTP1Connection)
         message = _CallerMessage(self._front, self, server_conn, request_conn)
+        message.mark_in_request(False)
         if self._closed or server_conn in self._closing:
             request_conn.close()
         else:
@@ -242,6 +286,7 @@
     ) -> None:
         assert isinstance(start_line, RequestStartLine)
         self._callers.busy(self)
+        self.mark_in_request(True)
         fault = None
         length: int | None = 0
         try:
@@ -271,6 +316,12 @@
         self.connection.set_close_callback(self._caller_left)
         self._task = self._front.begin(request, reply)
 
+    def mark_in_request(self, in_request: bool) -> None:
+        """Note whether a head was received whose answer is not finished."""
+        stream = self.connection.stream
+        if isinstance(stream, _CallerStream):
+            stream.in_request = in_request
+
     async def data_received(self, chunk: bytes) -> None:
         await self._channel.put(chunk)
 
--- a/packages/cardamomrun-requests/tests/builders.py
+++ b/packages/cardamomrun-requests/tests/builders.py
@@ -155,6 +155,7 @@
 
     async def start(self) -> BackendBody:
         self.reading.set()
+        self._writers: list[asyncio.StreamWriter] = []
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         port = self._server.sockets[0].getsockname()[1]
         return backend(port, self.server_id)
@@ -162,8 +163,13 @@
     def stop(self) -> None:
         self._server.close()
 
+    def unsent_bytes(self) -> int:
+        """Return what waits in this process for the front door to read it."""
+        return sum(item.transport.get_write_buffer_size() for item in self._writers)
+
     async def _serve(self, reader, writer) -> None:
         self.connection_count += 1
+        self._writers.append(writer)
         try:
             while await self._serve_one(reader, writer):
                 pass
--- /dev/null
+++ b/packages/cardamomrun-requests/tests/test_load.py
@@ -0,0 +1,223 @@
+"""Limits, fairness, streaming and the graceful stop."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from cardamomrun_base.clock import ManualClock
+from cardamomrun_base.documents import Limits
+from cardamomrun_base.errors import AddressInUseError
+from cardamomrun_requests.admission import Admission, RefusedError
+from cardamomrun_requests.retries import RetryBudget
+
+from .builders import (
+    ScriptedServer,
+    Step,
+    document,
+    front_door,
+    ok,
+    parse,
+    request,
+    until,
+)
+
+
+def test_free_slots_go_to_customers_in_turn():
+    """Guards against one customer's burst that delays all others."""
+
+    async def main():
+        admission = Admission(Limits(concurrency_count=1, queue_count=4))
+        await admission.enter("busy", 5)
+        order: list[str] = []
+
+        async def wait(customer: str) -> None:
+            with contextlib.suppress(RefusedError):
+                await admission.enter(customer, 5)
+                order.append(customer)
+                admission.leave()
+
+        tasks = []
+        for customer in ("a", "a", "a", "a", "b"):
+            tasks.append(asyncio.create_task(wait(customer)))
+            await asyncio.sleep(0)
+        admission.leave()
+        await asyncio.gather(*tasks)
+        # The queue was full, so b took the place of the newest request of a.
+        assert order == ["a", "b", "a", "a"]
+        with pytest.raises(RefusedError):
+            await admission.enter("x", 5)
+            await admission.enter("x", 0.01)
+        admission.leave()
+        await admission.enter("x", 0)
+
+    asyncio.run(main())
+
+
+def test_retry_budget_is_a_ratio_of_ten_seconds():
+    """Guards against retries that multiply the load of an overloaded service."""
+    clock = ManualClock()
+    budget = RetryBudget(clock)
+    for _ in range(100):
+        budget.count_request()
+    assert [budget.take(0.1) for _ in range(11)] == [True] * 10 + [False]
+    assert not budget.take(0.0)
+    clock.advance_ms(12_000)
+    assert [budget.take(0.1) for _ in range(4)] == [True] * 3 + [False]
+
+
+def test_retries_stop_at_the_budget():
+    """Guards against an exchange that does not ask the budget."""
+    content = document(retries={"budget_ratio": 0.0})
+
+    async def main():
+        first = ScriptedServer([Step(then="close")])
+        second = ScriptedServer([Step(ok())], "b2")
+        async with front_door(first, second, content=content) as fixture:
+            assert (await fixture.call("GET")).status == 502
+        assert not second.heads
+
+    asyncio.run(main())
+
+
+def test_full_queue_refuses_as_not_run():
+    """Guards against an unbounded queue and against slots that leak."""
+    limits = {"concurrency_count": 1, "queue_count": 1, "queue_wait_ms": 60_000}
+    content = document({"attempt_timeout_ms": 60_000}, limits=limits)
+
+    async def main():
+        release = asyncio.Event()
+        server = ScriptedServer([Step(ok(), release=release)])
+        async with front_door(server, content=content) as fixture:
+            running = asyncio.create_task(fixture.call("POST"))
+            await until(lambda: len(server.heads) == 1)
+            others = [asyncio.create_task(fixture.call("POST")) for _ in range(2)]
+            done, _ = await asyncio.wait(others, return_when="FIRST_COMPLETED")
+            refused = done.pop().result()
+            assert (refused.status, refused.outcome) == (503, "not-run")
+            assert "retry-after" in refused.headers
+            release.set()
+            statuses = [(await task).status for task in (running, *others)]
+            assert sorted(statuses) == [200, 200, 503]
+
+    asyncio.run(main())
+
+
+def test_deadline_cancels_the_work_and_is_passed_on():
+    """Guards against work that goes on after the caller's deadline."""
+    content = document({"attempt_timeout_ms": 60_000})
+
+    async def main():
+        server = ScriptedServer([Step(then="hang")])
+        async with front_door(server, content=content) as fixture:
+            received = await fixture.call("POST", cardamomrun_deadline_ms="300")
+            assert (received.status, received.outcome) == (504, "unknown")
+            await until(lambda: server.closed_count == 1)
+        fields = server.heads[0].lower().split(b"\r\n")
+        passed_on = next(item for item in fields if b"deadline-ms" in item)
+        assert 0 < int(passed_on.split(b": ")[1]) <= 300
+        assert any(item.startswith(b"x-forwarded-for: 127.0.0.1") for item in fields)
+        assert not any(item.startswith(b"connection") for item in fields)
+
+    asyncio.run(main())
+
+
+PART = b"x" * 65_536
+PART_COUNT = 512
+SIZE = len(PART) * PART_COUNT
+LARGE = document({"max_body_bytes": SIZE, "deadline_ms": 60_000})
+
+
+def test_upload_is_held_back_by_a_slow_server():
+    """Guards against an upload that is held in memory.
+
+    The server reads nothing, so what the front door takes from the caller is bounded
+    by the socket buffers of both sides.
+    """
+    content = document({"max_body_bytes": SIZE, "attempt_timeout_ms": 60_000})
+
+    async def main():
+        server = ScriptedServer([Step(ok())], keep_bodies=False)
+        async with front_door(server, content=content) as fixture:
+            server.reading.clear()
+            reader, writer = await fixture.connect()
+            writer.write(request("POST", content_length=str(SIZE)))
+            sent_count = 0
+            with contextlib.suppress(TimeoutError):
+                for _ in range(PART_COUNT):
+                    writer.write(PART)
+                    async with asyncio.timeout(0.5):
+                        await writer.drain()
+                    sent_count += 1
+            assert sent_count < PART_COUNT
+            server.reading.set()
+            for _ in range(PART_COUNT - sent_count - 1):
+                writer.write(PART)
+                await writer.drain()
+            assert parse(await reader.read()).status == 200
+            writer.close()
+        assert server.body_bytes == SIZE
+
+    asyncio.run(main())
+
+
+def test_answer_is_held_back_by_a_slow_caller():
+    """Guards against an answer that is held in memory."""
+
+    async def main():
+        server = ScriptedServer([Step(ok(PART * PART_COUNT))])
+        async with front_door(server, content=LARGE) as fixture:
+            reader, writer = await fixture.connect()
+            writer.write(request())
+            await reader.readexactly(1)
+            # Without back pressure the server's own buffer would become empty.
+            with pytest.raises(TimeoutError):
+                async with asyncio.timeout(0.5):
+                    await until(lambda: server.unsent_bytes() < SIZE // 8)
+            received = b"H" + await reader.read()
+            writer.close()
+            assert len(parse(received).body) == SIZE
+
+    asyncio.run(main())
+
+
+def test_stop_lets_a_slow_upload_finish():
+    """Guards against a planned stop that interrupts a request in flight."""
+
+    async def main():
+        server = ScriptedServer([Step(ok())])
+        async with front_door(server, content=LARGE) as fixture:
+            idle_reader, idle_writer = await fixture.connect()
+            reader, writer = await fixture.connect()
+            writer.write(request("POST", content_length=str(2 * len(PART))) + PART)
+            await until(lambda: len(server.heads) == 1)
+            stopping = asyncio.create_task(fixture.front.stop())
+            await asyncio.sleep(0)
+            assert (await fixture.call("GET")).status == 200
+            # The end of the idle connection shows that the listener is closed.
+            assert await idle_reader.read() == b""
+            with pytest.raises(ConnectionRefusedError):
+                await fixture.connect()
+            assert not stopping.done()
+            writer.write(PART)
+            received = parse(await reader.read())
+            assert (received.status, received.outcome) == (200, "done")
+            await stopping
+            idle_writer.close()
+            writer.close()
+
+    asyncio.run(main())
+
+
+def test_directory_and_address_in_use():
+    """Guards against a directory behind routes, and a second start unnoticed."""
+
+    async def main():
+        async with front_door() as fixture:
+            received = await fixture.call(path="/.cardamomrun/addresses?count=2")
+            assert received.body == b'{"count": "2"}'
+            assert received.outcome == "done"
+            with pytest.raises(AddressInUseError):
+                await fixture.front.start()
+
+    asyncio.run(main())
