Add announcements, selection of backend servers and the directory

Cause: the request path needs a server for each attempt, and servers and callers need the admin and directory interfaces. Change: registry, handlers, known servers, ejection grants, LiveBackends with local avoidance and slow start, subsets with a bounded distance from the mean.

--- /dev/null
+++ b/packages/cardamomrun-backends/src/cardamomrun_backends/registry.py
@@ -0,0 +1,246 @@
+"""Announcements of backend servers at this instance, their registrar.
+
+A registrar vouches for its servers by being alive, so renewals are not replicated;
+only changes are (`docs/design.md`, sections 4.1 and 4.9).
+"""
+
+from dataclasses import dataclass, replace
+from ipaddress import ip_address
+from typing import Annotated
+
+from pydantic import AfterValidator, ConfigDict, Field
+
+from cardamomrun_backends.servers import GONE_LIFETIME_MS
+from cardamomrun_base.clock import Clock
+from cardamomrun_base.errors import ConflictError
+from cardamomrun_base.interfaces import Fleet
+from cardamomrun_base.logs import PartLog
+from cardamomrun_base.model import (
+    BackendBody,
+    BackendPhase,
+    EnvironmentId,
+    InstanceId,
+    Kind,
+    Record,
+    ServerId,
+    backend_key,
+)
+from cardamomrun_base.settings import NodeSettings
+
+__all__ = ["Announcement", "AnnouncementLease", "Registry"]
+
+# Share of the lifetime after which a renewal is due: 1 s of 2,500 ms (section 4.9).
+RENEW_RATIO = 0.4
+SWEEP_MS = 100
+MAX_PORT = 65_535
+# A gone record with no slots says that the server left as announced. Such a server
+# is not lost capacity and does not count towards the floor.
+LEFT_SLOTS = 0
+
+_log = PartLog("registry")
+
+
+def _check_address(address: str) -> str:
+    host, _, port = address.rpartition(":")
+    ip_address(host.removeprefix("[").removesuffix("]"))
+    if not (port.isascii() and port.isdigit() and 0 < int(port) <= MAX_PORT):
+        raise ValueError("the port is not between 1 and 65535")
+    return address
+
+
+@dataclass(frozen=True)
+class Announcement:
+    """What a backend server says about itself; `address` is `ip:port`."""
+
+    __pydantic_config__ = ConfigDict(extra="forbid")
+
+    incarnation: Annotated[int, Field(ge=0, lt=2**63)]
+    address: Annotated[str, AfterValidator(_check_address)]
+    failure_domain: Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
+    slots: Annotated[int, Field(ge=1, le=100_000)]
+    connections: Annotated[int, Field(ge=1, le=1_000_000)]
+    phase: BackendPhase
+
+
+@dataclass(frozen=True)
+class AnnouncementLease:
+    """How long an announcement lasts and how often to renew it."""
+
+    ttl_ms: int
+    renew_ms: int
+    registrar_id: InstanceId
+
+
+class Registry:
+    """The servers that announced themselves here.
+
+    Call `announce` for the first announcement, each renewal and each change of phase.
+    `run` publishes gone for servers that stopped renewing.
+    """
+
+    def __init__(self, settings: NodeSettings, clock: Clock, fleet: Fleet) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._fleet = fleet
+        self._store = fleet.store
+        self._deadlines_ms: dict[str, float] = {}
+        self._swept_ms = clock.now_ms()
+        self._store.subscribe(Kind.BACKEND, self._on_record)
+        for record in self._store.all(Kind.BACKEND):
+            self._on_record(record)
+
+    def announce(
+        self,
+        environment: EnvironmentId,
+        server_id: ServerId,
+        announcement: Announcement,
+    ) -> AnnouncementLease:
+        """Publish the announcement if it changed something, and extend its lease.
+
+        Raises `ConflictError` if a newer incarnation is known, or if this run of the
+        server announced before that it drains.
+        """
+        key = backend_key(environment, server_id)
+        held = self._store.get(Kind.BACKEND, key)
+        if held is not None:
+            _check_order(key, held, announcement)
+        body = self._body(environment, server_id, announcement)
+        if held is None or held.content != body:
+            self._publish(key, held, body)
+        self._deadlines_ms[key] = self._next_deadline_ms()
+        return self._lease()
+
+    def leave(
+        self, environment: EnvironmentId, server_id: ServerId, incarnation: int | None
+    ) -> None:
+        """Publish that a server left; does nothing if it is unknown or gone.
+
+        Raises `ConflictError` if `incarnation` is given and a newer one is known.
+        """
+        key = backend_key(environment, server_id)
+        held = self._store.get(Kind.BACKEND, key)
+        if held is None:
+            return
+        body: BackendBody = held.content
+        if incarnation is not None and incarnation < body.incarnation:
+            raise _older_incarnation(key, incarnation, body.incarnation)
+        if body.phase is BackendPhase.GONE and body.slots == LEFT_SLOTS:
+            return
+        self._publish_gone(key, held, replace(body, slots=LEFT_SLOTS))
+
+    async def run(self) -> None:
+        """Publish gone for silent servers until cancelled."""
+        while True:
+            self.sweep()
+            await self._clock.sleep_ms(SWEEP_MS)
+
+    def sweep(self) -> None:
+        """Publish gone for servers of this registrar whose lease ended."""
+        now_ms = self._clock.now_ms()
+        self._extend_after_pause(now_ms)
+        late = [key for key, end_ms in self._deadlines_ms.items() if end_ms <= now_ms]
+        for key in late:
+            del self._deadlines_ms[key]
+            self._end_lease(key)
+
+    def _extend_after_pause(self, now_ms: float) -> None:
+        # After a pause of this process, renewals are still in its socket buffers;
+        # without this, all servers would be published as gone at once.
+        pause_ms = now_ms - self._swept_ms - SWEEP_MS
+        self._swept_ms = now_ms
+        if pause_ms < SWEEP_MS:
+            return
+        for key in self._deadlines_ms:
+            self._deadlines_ms[key] += pause_ms
+
+    def _end_lease(self, key: str) -> None:
+        held = self._store.get(Kind.BACKEND, key)
+        if held is None or not self._is_mine(held.content):
+            return
+        _log.warning(f"{key} did not renew in time; published as gone")
+        self._publish_gone(key, held, held.content)
+
+    def _publish_gone(self, key: str, held: Record, body: BackendBody) -> None:
+        registrar_id = self._fleet.instance_id
+        gone = replace(body, phase=BackendPhase.GONE, registrar_id=registrar_id)
+        self._publish(key, held, gone, GONE_LIFETIME_MS)
+
+    def _publish(
+        self,
+        key: str,
+        held: Record | None,
+        body: BackendBody,
+        lifetime_ms: int | None = None,
+    ) -> None:
+        same_run = held is not None and held.epoch == body.incarnation
+        counter = held.counter + 1 if held is not None and same_run else 0
+        version = (body.incarnation, counter)
+        owner_id = self._fleet.instance_id
+        record = Record.of(Kind.BACKEND, key, owner_id, version, body, lifetime_ms)
+        self._store.put(record)
+        _log.info(f"{key} is {body.phase}", incarnation=body.incarnation)
+
+    def _on_record(self, record: Record) -> None:
+        """Watch servers of this registrar; stop when another one took over.
+
+        A record of this registrar that is not watched stems from an earlier run of
+        this process; its server gets one lease to renew.
+        """
+        if self._is_mine(record.content):
+            self._deadlines_ms.setdefault(record.key, self._next_deadline_ms())
+        else:
+            self._deadlines_ms.pop(record.key, None)
+
+    def _is_mine(self, body: BackendBody) -> bool:
+        mine = body.registrar_id == self._fleet.instance_id
+        return mine and body.phase is not BackendPhase.GONE
+
+    def _next_deadline_ms(self) -> float:
+        return self._clock.now_ms() + self._settings.announcement_ttl_ms
+
+    def _body(
+        self,
+        environment: EnvironmentId,
+        server_id: ServerId,
+        announcement: Announcement,
+    ) -> BackendBody:
+        return BackendBody(
+            environment=environment,
+            server_id=server_id,
+            incarnation=announcement.incarnation,
+            address=announcement.address,
+            failure_domain=announcement.failure_domain,
+            slots=announcement.slots,
+            connections=announcement.connections,
+            registrar_id=self._fleet.instance_id,
+            phase=announcement.phase,
+        )
+
+    def _lease(self) -> AnnouncementLease:
+        ttl_ms = self._settings.announcement_ttl_ms
+        return AnnouncementLease(
+            ttl_ms=ttl_ms,
+            renew_ms=int(ttl_ms * RENEW_RATIO),
+            registrar_id=self._fleet.instance_id,
+        )
+
+
+def _check_order(key: str, held: Record, announcement: Announcement) -> None:
+    body: BackendBody = held.content
+    if announcement.incarnation < body.incarnation:
+        raise _older_incarnation(key, announcement.incarnation, body.incarnation)
+    same_run = announcement.incarnation == body.incarnation
+    drains = body.phase is BackendPhase.DRAINING
+    # A delayed announcement must not bring a draining server back into service.
+    if same_run and drains and announcement.phase is not BackendPhase.DRAINING:
+        raise ConflictError(
+            f"{key} announced in incarnation {body.incarnation} that it drains.",
+            remedy="announce a higher incarnation to serve again",
+        )
+
+
+def _older_incarnation(key: str, given: int, known: int) -> ConflictError:
+    return ConflictError(
+        f"{key} is known with incarnation {known}, which is newer than {given}.",
+        remedy="raise the incarnation at each start, for example to the start time",
+    )
--- /dev/null
+++ b/packages/cardamomrun-backends/src/cardamomrun_backends/server_state.py
@@ -0,0 +1,105 @@
+"""What one entry instance knows about one backend server from its own requests."""
+
+from dataclasses import dataclass
+
+from cardamomrun_base.interfaces import AttemptResult
+
+__all__ = ["ServerState"]
+
+MS_PER_S = 1_000
+
+# Local avoidance (docs/design.md, section 4.4).
+CONNECT_FAILURES_TO_AVOID = 2
+FAILURES_TO_AVOID = 3
+FIRST_AVOIDANCE_MS = 5_000
+MAX_AVOIDANCE_MS = 60_000
+
+# A wrong Retry-After must not take a server out of use for long.
+DEFAULT_RETRY_AFTER_S = 1
+MAX_RETRY_AFTER_S = 30
+# A shed answer counts as one request in flight and fades with this half-life.
+SHED_HALF_LIFE_MS = 5_000
+
+SLOW_START_MS = 10_000
+# A server at the beginning of slow start needs some work, to warm its caches.
+MIN_WEIGHT = 0.1
+
+
+@dataclass
+class ServerState:
+    """Requests in flight, shed answers, avoidance and slow start of one server.
+
+    `incarnation` is the run of the server that the state is about.
+    """
+
+    incarnation: int
+    in_flight_count: int = 0
+    ramp_since_ms: float = 0.0
+    avoided_since_ms: float = float("-inf")
+    avoided_until_ms: float = float("-inf")
+    _next_avoidance_ms: float = FIRST_AVOIDANCE_MS
+    _connect_failures: int = 0
+    _failures: int = 0
+    _shed_count: float = 0.0
+    _shed_ms: float = 0.0
+    _shed_until_ms: float = float("-inf")
+
+    def wants_avoidance(self, now_ms: float) -> bool:
+        """Return True while this instance's own evidence is against the server."""
+        return now_ms < self.avoided_until_ms
+
+    def sheds(self, now_ms: float) -> bool:
+        """Return True during the Retry-After time of the last shed answer."""
+        return now_ms < self._shed_until_ms
+
+    def load(self, now_ms: float) -> float:
+        """Return requests in flight plus faded shed answers."""
+        age_ms = now_ms - self._shed_ms
+        return self.in_flight_count + self._shed_count * 0.5 ** (
+            age_ms / SHED_HALF_LIFE_MS
+        )
+
+    def weight(self, now_ms: float) -> float:
+        """Return the share of work during slow start, rising to 1."""
+        return min(1.0, max(MIN_WEIGHT, (now_ms - self.ramp_since_ms) / SLOW_START_MS))
+
+    def restart_ramp(self, now_ms: float) -> None:
+        """Begin slow start again, after the server returned."""
+        self.ramp_since_ms = now_ms
+
+    def record_shed(self, now_ms: float, retry_after_s: int | None) -> None:
+        """Steer work away for the time that the server asked for, within bounds."""
+        wait_s = DEFAULT_RETRY_AFTER_S if retry_after_s is None else retry_after_s
+        wait_s = min(MAX_RETRY_AFTER_S, max(0, wait_s))
+        self._shed_count = self.load(now_ms) - self.in_flight_count + 1
+        self._shed_ms = now_ms
+        self._shed_until_ms = max(self._shed_until_ms, now_ms + wait_s * MS_PER_S)
+
+    def record(self, now_ms: float, started_ms: float, result: AttemptResult) -> None:
+        """Take the end of an attempt as evidence for or against avoidance."""
+        if started_ms < self.avoided_since_ms:
+            # The attempt began before the avoidance, so it shows nothing new.
+            return
+        if result is AttemptResult.GOOD:
+            self._connect_failures = 0
+            self._failures = 0
+            self._next_avoidance_ms = FIRST_AVOIDANCE_MS
+            return
+        if result is AttemptResult.UNREACHABLE:
+            self._connect_failures += 1
+        elif result is not AttemptResult.FAILED:
+            return
+        self._failures += 1
+        if self._fails_in_a_row() and not self.wants_avoidance(now_ms):
+            self._avoid(now_ms)
+
+    def _fails_in_a_row(self) -> bool:
+        refused = self._connect_failures >= CONNECT_FAILURES_TO_AVOID
+        return refused or self._failures >= FAILURES_TO_AVOID
+
+    def _avoid(self, now_ms: float) -> None:
+        """Avoid the server; the counts stay, so one more failure avoids it again."""
+        self.avoided_since_ms = now_ms
+        self.avoided_until_ms = now_ms + self._next_avoidance_ms
+        self.restart_ramp(self.avoided_until_ms)
+        self._next_avoidance_ms = min(MAX_AVOIDANCE_MS, 2 * self._next_avoidance_ms)
--- /dev/null
+++ b/packages/cardamomrun-backends/src/cardamomrun_backends/servers.py
@@ -0,0 +1,166 @@
+"""Backend servers known to this instance, from the replicated records."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from cardamomrun_base.clock import Clock
+from cardamomrun_base.interfaces import Fleet
+from cardamomrun_base.model import (
+    BackendBody,
+    BackendPhase,
+    EnvironmentId,
+    InstanceId,
+    Kind,
+    Record,
+    ServerId,
+)
+
+__all__ = ["GONE_LIFETIME_MS", "KnownServers", "ServiceServers"]
+
+# Records of gone servers are kept as long as an old copy may still be replicated.
+GONE_LIFETIME_MS = 600_000
+# A server whose registrar failed has this time to renew at another instance.
+REGISTRAR_GRACE_MS = 3_000
+# Membership changes over seconds; reading it for each request would cost more.
+MEMBERS_CACHE_MS = 200
+
+
+class _Status(Enum):
+    SERVING = "serving"
+    STARTING = "starting"
+    DRAINING = "draining"
+    LOST = "lost"
+    LEFT = "left"
+
+
+@dataclass(frozen=True)
+class ServiceServers:
+    """The servers of one environment by state; `lost` ones stopped renewing."""
+
+    serving: dict[ServerId, BackendBody]
+    starting: dict[ServerId, BackendBody]
+    draining: dict[ServerId, BackendBody]
+    lost: dict[ServerId, BackendBody]
+
+    @property
+    def announced_count(self) -> int:
+        """Servers that count towards the floor's ratio."""
+        groups = (self.serving, self.starting, self.draining, self.lost)
+        return sum(len(group) for group in groups)
+
+
+@dataclass
+class _Known:
+    body: BackendBody
+    version: tuple[int, int]
+    arrived_ms: float
+    serving_since_ms: float
+
+
+class KnownServers:
+    """The records of backend servers, grouped by environment.
+
+    A server is lost if its record is gone without an announced leave, or if its
+    registrar has been taken as failed for `REGISTRAR_GRACE_MS`.
+    """
+
+    def __init__(self, clock: Clock, fleet: Fleet) -> None:
+        self._clock = clock
+        self._fleet = fleet
+        self._by_environment: dict[EnvironmentId, dict[ServerId, _Known]] = {}
+        self._registrar_absent_since_ms: dict[InstanceId, float] = {}
+        self._member_ids: frozenset[InstanceId] = frozenset()
+        self._members_read_ms: float | None = None
+        fleet.store.subscribe(Kind.BACKEND, self._on_record)
+        for record in fleet.store.all(Kind.BACKEND):
+            self._on_record(record)
+
+    def environments(self) -> list[EnvironmentId]:
+        """Return the environments that have servers."""
+        return list(self._by_environment)
+
+    def of(self, environment: EnvironmentId) -> ServiceServers:
+        """Return the servers of an environment by state."""
+        groups: dict[_Status, dict[ServerId, BackendBody]] = {s: {} for s in _Status}
+        known_servers = self._by_environment.get(environment, {})
+        self._drop_expired(known_servers)
+        for server_id, known in known_servers.items():
+            groups[self._status(known)][server_id] = known.body
+        return ServiceServers(
+            serving=groups[_Status.SERVING],
+            starting=groups[_Status.STARTING],
+            draining=groups[_Status.DRAINING],
+            lost=groups[_Status.LOST],
+        )
+
+    def is_current(self, server: BackendBody) -> bool:
+        """Return False once the server drains, is gone, or has a newer incarnation."""
+        known = self._find(server.environment, server.server_id)
+        if known is None or known.body.incarnation != server.incarnation:
+            return False
+        return self._status(known) in (_Status.SERVING, _Status.STARTING)
+
+    def serving_since_ms(
+        self, environment: EnvironmentId, server_id: ServerId
+    ) -> float:
+        """Return when the server began to serve, as seen by this instance."""
+        known = self._find(environment, server_id)
+        return self._clock.now_ms() if known is None else known.serving_since_ms
+
+    def _find(self, environment: EnvironmentId, server_id: ServerId) -> _Known | None:
+        return self._by_environment.get(environment, {}).get(server_id)
+
+    def _on_record(self, record: Record) -> None:
+        body: BackendBody = record.content
+        servers = self._by_environment.setdefault(body.environment, {})
+        before = servers.get(body.server_id)
+        if before is not None and before.version > record.version:
+            return
+        now_ms = self._clock.now_ms()
+        serving_since_ms = now_ms
+        if before is not None and _serves_on(before.body, body):
+            serving_since_ms = before.serving_since_ms
+        known = _Known(body, record.version, now_ms, serving_since_ms)
+        servers[body.server_id] = known
+
+    def _drop_expired(self, servers: dict[ServerId, _Known]) -> None:
+        limit_ms = self._clock.now_ms() - GONE_LIFETIME_MS
+        expired = [
+            server_id
+            for server_id, known in servers.items()
+            if known.body.phase is BackendPhase.GONE and known.arrived_ms < limit_ms
+        ]
+        for server_id in expired:
+            del servers[server_id]
+
+    def _status(self, known: _Known) -> _Status:
+        phase = known.body.phase
+        if phase is BackendPhase.GONE:
+            return _Status.LEFT if known.body.slots == 0 else _Status.LOST
+        if self._registrar_failed(known.body.registrar_id):
+            return _Status.LOST
+        return _Status(phase.value)
+
+    def _registrar_failed(self, registrar_id: InstanceId) -> bool:
+        self._read_members()
+        if registrar_id in self._member_ids:
+            return False
+        now_ms = self._clock.now_ms()
+        since_ms = self._registrar_absent_since_ms.setdefault(registrar_id, now_ms)
+        return now_ms - since_ms >= REGISTRAR_GRACE_MS
+
+    def _read_members(self) -> None:
+        now_ms = self._clock.now_ms()
+        read_ms = self._members_read_ms
+        if read_ms is not None and now_ms - read_ms < MEMBERS_CACHE_MS:
+            return
+        self._members_read_ms = now_ms
+        ids = {member.instance_id for member in self._fleet.members()}
+        self._member_ids = frozenset(ids | {self._fleet.instance_id})
+        for instance_id in self._member_ids:
+            self._registrar_absent_since_ms.pop(instance_id, None)
+
+
+def _serves_on(before: BackendBody, body: BackendBody) -> bool:
+    same_run = before.incarnation == body.incarnation
+    return same_run and before.phase is body.phase is BackendPhase.SERVING
--- /dev/null
+++ b/packages/cardamomrun-backends/tests/builders.py
@@ -0,0 +1,220 @@
+"""Fake fleet, store and documents in memory, for the tests of this package."""
+
+import random
+from pathlib import Path
+
+from cardamomrun_backends.backends import LiveBackends
+from cardamomrun_base.clock import ManualClock
+from cardamomrun_base.documents import (
+    EnvironmentDocument,
+    Floor,
+    Limits,
+    Profile,
+    Route,
+)
+from cardamomrun_base.interfaces import Environment
+from cardamomrun_base.model import (
+    BackendBody,
+    BackendPhase,
+    EjectionsBody,
+    EnvironmentBody,
+    Kind,
+    MemberBody,
+    MemberPhase,
+    Record,
+    backend_key,
+)
+from cardamomrun_base.settings import FleetSettings, NodeSettings
+
+ENVIRONMENT = "rota-desk/production"
+DOMAINS = ("kelowna-a", "kelowna-b", "vernon-a", "penticton-a")
+
+
+class FakeStore:
+    """Records of one instance; `linked` stores receive what wins here."""
+
+    def __init__(self):
+        self.records = {}
+        self.callbacks = {}
+        self.linked = []
+        self.published = []
+
+    def get(self, kind, key):
+        return self.records.get((kind, key))
+
+    def all(self, kind):
+        return [record for (held, _), record in self.records.items() if held is kind]
+
+    def put(self, record):
+        held = self.records.get((record.kind, record.key))
+        if held is not None and held.version >= record.version:
+            return False
+        self.records[record.kind, record.key] = record
+        self.published.append(record)
+        for callback in self.callbacks.get(record.kind, []):
+            callback(record)
+        for store in self.linked:
+            store.put(record)
+        return True
+
+    def subscribe(self, kind, callback):
+        self.callbacks.setdefault(kind, []).append(callback)
+
+
+class FakeFleet:
+    """Membership and messages of one instance."""
+
+    def __init__(self, instance_id="entry-1", members=(), store=None):
+        self.instance_id = instance_id
+        self.store = store or FakeStore()
+        self.listed = list(members) or [member(instance_id)]
+        self.handlers = {}
+        self.answers = []
+        self.sent = []
+
+    async def request(self, instance_id, message, *, timeout_ms):
+        self.sent.append((instance_id, message))
+        answer = self.answers.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+    def handle(self, message_type, handler):
+        self.handlers[message_type] = handler
+
+    def add_address(self, instance_id, peer_address):
+        pass
+
+    def members(self):
+        return self.listed
+
+    def may_be_behind(self):
+        return False
+
+
+class FakeEnvironments:
+    """One environment, or those given."""
+
+    def __init__(self, *documents):
+        self.held = {e.body.environment: e for e in documents or (environment(),)}
+
+    def get(self, name):
+        return self.held.get(name)
+
+    def by_host(self, host):
+        return None
+
+    def all(self):
+        return self.held.values()
+
+
+def settings(instance_id="entry-1", failure_domain="kelowna-a", **changes):
+    values = {
+        "instance_id": instance_id,
+        "region": "bc-interior",
+        "failure_domain": failure_domain,
+        "roles": ("entry",),
+        "host": "127.0.0.1",
+        "front_port": 8080,
+        "admin_port": 8081,
+        "peer_port": 8082,
+        "fleet": FleetSettings(key_file=Path("fleet.key")),
+        "announcement_tokens_file": Path("tokens.json"),
+    }
+    return NodeSettings(**{**values, **changes})
+
+
+def environment(
+    *,
+    ratio=0.7,
+    count=1,
+    profile=Profile.FEWEST_FALSE_EJECTIONS,
+    subset_count=12,
+    name=ENVIRONMENT,
+    version=1,
+):
+    document = EnvironmentDocument(
+        service="rota-desk",
+        hosts=("rota.example",),
+        routes=(Route("/"),),
+        profile=profile,
+        floor=Floor(healthy_ratio=ratio, healthy_count=count),
+        limits=Limits(subset_count=subset_count),
+    )
+    return Environment(EnvironmentBody(name, version, version, "", b""), document)
+
+
+def member(
+    instance_id, domain="kelowna-a", phase=MemberPhase.SERVING, roles=("entry",)
+):
+    address = f"127.0.0.1:{instance_id}"
+    return MemberBody(
+        instance_id, 1, "bc-interior", domain, roles, address, address, address, phase
+    )
+
+
+def members(count, domains=DOMAINS):
+    return [member(f"entry-{i}", domains[i % len(domains)]) for i in range(count)]
+
+
+def server(server_id, phase=BackendPhase.SERVING, **changes):
+    values = {
+        "environment": ENVIRONMENT,
+        "incarnation": 1,
+        "address": "127.0.0.2:9000",
+        "failure_domain": "kelowna-a",
+        "slots": 4,
+        "connections": 400,
+        "registrar_id": "entry-1",
+    }
+    return BackendBody(server_id=server_id, phase=phase, **{**values, **changes})
+
+
+def servers(count, domains=DOMAINS):
+    return [
+        server(f"b{i}", failure_domain=domains[i % len(domains)]) for i in range(count)
+    ]
+
+
+def publish(store, body, counter=0):
+    key = backend_key(body.environment, body.server_id)
+    version = (body.incarnation, counter)
+    record = Record.of(Kind.BACKEND, key, body.registrar_id, version, body)
+    return store.put(record)
+
+
+def grant(store, epoch, counter, server_ids, probation=(), lease_ms=5_000):
+    body = EjectionsBody(
+        ENVIRONMENT, f"control-{epoch}", epoch, tuple(server_ids), probation, lease_ms
+    )
+    version = (epoch, counter)
+    return store.put(Record.of(Kind.EJECTIONS, ENVIRONMENT, "c", version, body))
+
+
+class Instance:
+    """One entry instance with its view, on a manual clock."""
+
+    def __init__(self, bodies=(), *, env=None, clock=None, members=(), seed=1):
+        self.clock = clock or ManualClock(1_000_000)
+        self.fleet = FakeFleet(members=members)
+        self.store = self.fleet.store
+        for body in bodies:
+            publish(self.store, body)
+        environments = FakeEnvironments(env or environment())
+        randomness = random.Random(seed)
+        self.backends = LiveBackends(
+            settings(), self.clock, self.fleet, environments, randomness
+        )
+
+    def view(self):
+        return self.backends.view(ENVIRONMENT)
+
+    def choose(self, **arguments):
+        return self.backends.choose(ENVIRONMENT, **arguments)
+
+    def attempt(self, body, result, **arguments):
+        attempt = self.backends.started(body)
+        self.backends.finished(attempt, result, **arguments)
+
+    def chosen(self, count=200):
+        return {choice.server_id for _ in range(count) if (choice := self.choose())}
--- /dev/null
+++ b/packages/cardamomrun-backends/tests/test_selection.py
@@ -0,0 +1,141 @@
+"""Subsets and the choice of a server."""
+
+from collections import Counter
+
+import pytest
+
+from cardamomrun_backends.selection import subset
+from cardamomrun_base.interfaces import AttemptResult
+from cardamomrun_base.model import BackendPhase
+
+from .builders import ENVIRONMENT, Instance, members, publish, server, servers
+
+
+@pytest.mark.parametrize(("instances", "count"), [(44, 30), (420, 34)])
+def test_subsets_are_balanced(instances, count):
+    # Guards against servers with twice the connections of others, and against a
+    # subset in one failure domain.
+    names = [f"entry-{i}" for i in range(instances)]
+    bodies = servers(count)
+    domain = {body.server_id: body.failure_domain for body in bodies}
+    uses = Counter()
+    for name in names:
+        chosen = subset(name, names, bodies, 12)
+        assert len(chosen) == 12
+        per_domain = Counter(domain[server_id] for server_id in chosen)
+        assert len(per_domain) == 4
+        assert max(per_domain.values()) - min(per_domain.values()) <= 2
+        uses.update(chosen)
+    mean = instances * 12 / count
+    assert max(uses.values()) <= 1.2 * mean
+    assert min(uses[name] for name in domain) >= 0.8 * mean
+
+
+def test_one_more_instance_moves_few_servers():
+    # Guards against all instances reconnecting each time that one starts.
+    names = [f"entry-{i}" for i in range(100)]
+    bodies = servers(34)
+    moved = sum(
+        len(
+            subset(n, names, bodies, 12) - subset(n, [*names, "entry-050a"], bodies, 12)
+        )
+        for n in names
+    )
+    assert moved < 0.1 * 12 * len(names)
+
+
+def test_less_loaded_and_local_servers_are_preferred():
+    # Guards against work for a busy server, and against needless remote work.
+    instance = Instance([server("b0"), server("b1", failure_domain="vernon-a")])
+    choices = Counter(instance.choose().server_id for _ in range(400))
+    assert choices["b0"] > 2 * choices["b1"]
+    for _ in range(3):
+        instance.backends.started(server("b0"))
+    choices = Counter(instance.choose().server_id for _ in range(400))
+    assert choices["b1"] > 2 * choices["b0"]
+
+
+@pytest.mark.parametrize("retry_after_s", [5, None, 10**9, -1])
+def test_shed_answers_steer_away_for_a_bounded_time(retry_after_s):
+    # Guards against a wrong Retry-After that takes a server out of use for days.
+    instance = Instance(servers(3))
+    instance.attempt(server("b0"), AttemptResult.SHED, retry_after_s=retry_after_s)
+    away_s = {5: 5, None: 1, 10**9: 30, -1: 0}[retry_after_s]
+    assert ("b0" in instance.chosen()) == (away_s == 0)
+    instance.clock.advance_ms(away_s * 1_000 + 30_000)
+    assert "b0" in instance.chosen()
+    assert "b0" in instance.view().healthy
+
+
+@pytest.mark.parametrize(
+    ("result", "needed"), [(AttemptResult.UNREACHABLE, 2), (AttemptResult.FAILED, 3)]
+)
+def test_failures_in_a_row_lead_to_avoidance_that_doubles(result, needed):
+    # Guards against work for a dead server while there is no decider.
+    instance = Instance(servers(10))
+    for expected_ms in (5_000, 10_000, 20_000, 40_000, 60_000, 60_000):
+        for _ in range(needed):
+            assert "b0" in instance.view().healthy
+            instance.attempt(server("b0"), result)
+        needed = 1
+        assert instance.view().avoided == ("b0",)
+        assert "b0" not in instance.chosen()
+        instance.clock.advance_ms(expected_ms)
+    instance.attempt(server("b0"), AttemptResult.GOOD)
+    instance.attempt(server("b0"), result)
+    assert "b0" in instance.view().healthy
+
+
+def test_success_between_failures_prevents_avoidance():
+    # Guards against avoidance of a server that fails now and then.
+    instance = Instance(servers(10))
+    for result in ["failed", "failed", "good"] * 5 + ["unreachable", "good"] * 5:
+        instance.attempt(server("b0"), AttemptResult(result))
+    assert instance.view().avoided == ()
+
+
+def test_restarted_server_starts_slowly_and_without_its_past():
+    # Guards against full load on a cold server, and old evidence against a new run.
+    instance = Instance(servers(10))
+    before = instance.backends.started(server("b0"))
+    for _ in range(3):
+        instance.attempt(server("b0"), AttemptResult.FAILED)
+    instance.clock.advance_ms(20_000)
+    publish(instance.store, server("b0", incarnation=2))
+    assert "b0" in instance.view().healthy
+    instance.backends.finished(before, AttemptResult.FAILED)
+    cold = Counter(instance.choose().server_id for _ in range(2_000))["b0"]
+    instance.clock.advance_ms(10_000)
+    warm = Counter(instance.choose().server_id for _ in range(2_000))["b0"]
+    assert 0 < cold < 0.4 * warm
+
+
+@pytest.mark.parametrize("phase", [BackendPhase.DRAINING, BackendPhase.GONE])
+def test_leaving_server_gets_no_work_even_as_the_last(phase):
+    # Guards P5: draining and gone servers get no work, also if nothing else is left.
+    instance = Instance([server("b0")])
+    assert instance.choose().server_id == "b0"
+    publish(instance.store, server("b0", phase), counter=1)
+    assert instance.choose() is None
+    assert not instance.backends.is_current(server("b0"))
+
+
+def test_avoided_server_is_better_than_none():
+    # Guards against refusing work while an avoided server might still run it.
+    instance = Instance(servers(4))
+    for _ in range(3):
+        instance.attempt(server("b0"), AttemptResult.FAILED)
+    others = frozenset({"b1", "b2", "b3"})
+    assert instance.view().avoided == ("b0",)
+    assert instance.choose(exclude=others).server_id == "b0"
+    assert instance.choose(exclude=others | {"b0"}) is None
+    assert instance.backends.choose("unknown/trial") is None
+
+
+def test_subset_grows_when_all_its_servers_are_excluded():
+    # Guards against a refusal while servers outside the subset are healthy.
+    instance = Instance(servers(34), members=members(44))
+    chosen = instance.chosen(2_000)
+    assert len(chosen) == 12
+    other = instance.backends.choose(ENVIRONMENT, exclude=frozenset(chosen))
+    assert other.server_id not in chosen
