Add the control state with log, agreement and operators' interface

Cause: the fleet has no replicated control state, so operators cannot deploy a document. Ruled out: a consensus library (not allowed), a separate core of pure state machines (house rules), a majority of unbound votes for the first election (a majority that lost its folders could begin a second history). Change: add durable log, agreement, state, audit trail, publisher, operators' HTTP interface and ControlService; tests for a single voter end to end.

--- /dev/null
+++ b/packages/cardamomrun-control/src/cardamomrun_control/publisher.py
@@ -0,0 +1,149 @@
+"""Publishes committed state as records, and maintains the roster of claim keepers."""
+
+from collections.abc import Iterable
+
+from cardamomrun_base.clock import Clock
+from cardamomrun_base.errors import StorageError, UnavailableError
+from cardamomrun_base.interfaces import Fleet
+from cardamomrun_base.logs import PartLog
+from cardamomrun_base.model import (
+    Kind,
+    LeaderBody,
+    MemberBody,
+    MemberPhase,
+    Record,
+    RosterMember,
+)
+from cardamomrun_base.settings import NodeSettings, Role
+from cardamomrun_control.agreement import Agreement
+from cardamomrun_control.state import ControlState, SetRoster
+
+__all__ = ["LEADER_KEY", "ROSTER_KEY", "Publisher"]
+
+LEADER_KEY = "control"
+ROSTER_KEY = "claims"
+ROUND_MS = 200
+
+_log = PartLog("control")
+
+
+class Publisher:
+    """Puts records of committed state into the store of this instance.
+
+    Versions come from the log and only increase, so an instance that is behind
+    publishes nothing that replaces a newer record.
+    """
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        clock: Clock,
+        fleet: Fleet,
+        agreement: Agreement,
+        state: ControlState,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._fleet = fleet
+        self._agreement = agreement
+        self._state = state
+        self._members: tuple[RosterMember, ...] = ()
+        self._members_since_ms = clock.now_ms()
+        self._roster_epoch = 0
+        self._roster_since_ms = clock.now_ms()
+
+    def publish(self) -> None:
+        """Publish the environments and the roster as committed here."""
+        for body in self._state.environments():
+            version = (0, body.version)
+            held = self._fleet.store.get(Kind.ENVIRONMENT, body.environment)
+            if held is None or held.version < version:
+                self._put(Kind.ENVIRONMENT, body.environment, version, body)
+        self._publish_roster()
+
+    async def run(self) -> None:
+        """Publish the leader record and renew the roster while this instance leads."""
+        while True:
+            self.publish_leader()
+            try:
+                await self.renew_roster()
+            except (UnavailableError, StorageError) as error:
+                _log.warning(f"the roster was not changed: {error}")
+            await self._clock.sleep_ms(ROUND_MS)
+
+    def publish_leader(self) -> None:
+        """Publish that this instance leads, if it holds the leader lease."""
+        if not self._agreement.holds_lease():
+            return
+        settings = self._settings
+        body = LeaderBody(
+            settings.instance_id,
+            self._agreement.term,
+            settings.admin_address,
+            settings.peer_address,
+        )
+        held = self._fleet.store.get(Kind.LEADER, LEADER_KEY)
+        counter = 1
+        if held is not None and held.epoch == body.term:
+            if held.content == body:
+                return
+            counter = held.counter + 1
+        self._put(Kind.LEADER, LEADER_KEY, (body.term, counter), body)
+
+    async def renew_roster(self) -> None:
+        """Propose a new roster if the stable membership differs from the committed one.
+
+        The first roster is formed after `roster_settle_ms` without a change of the
+        members; later ones follow at intervals of at least the retention time, since a
+        claim made under one roster must be found under the next.
+        """
+        now_ms = self._clock.now_ms()
+        members = _keepers(self._fleet.members())
+        if members != self._members:
+            self._members = members
+            self._members_since_ms = now_ms
+        self._note_roster()
+        roster = self._state.roster
+        if not members or members == roster.members:
+            return
+        if not self._agreement.holds_lease() or not self._is_settled(now_ms):
+            return
+        command = SetRoster(self._clock.wall_ms(), roster.epoch, members)
+        await self._agreement.propose(command)
+
+    def _is_settled(self, now_ms: float) -> bool:
+        if now_ms - self._members_since_ms < self._settings.roster_settle_ms:
+            return False
+        if self._state.roster.epoch == 0:
+            return True
+        age_ms = now_ms - self._roster_since_ms
+        return age_ms >= self._settings.idempotency_retention_ms
+
+    def _note_roster(self) -> None:
+        # The age is counted from the arrival here, not from the time in the command:
+        # clocks of different instances cannot be compared.
+        if self._state.roster.epoch != self._roster_epoch:
+            self._roster_epoch = self._state.roster.epoch
+            self._roster_since_ms = self._clock.now_ms()
+
+    def _publish_roster(self) -> None:
+        self._note_roster()
+        roster = self._state.roster
+        held = self._fleet.store.get(Kind.ROSTER, ROSTER_KEY)
+        if roster.epoch and (held is None or held.version < (0, roster.epoch)):
+            self._put(Kind.ROSTER, ROSTER_KEY, (0, roster.epoch), roster)
+
+    def _put(
+        self, kind: Kind, key: str, version: tuple[int, int], body: object
+    ) -> None:
+        owner_id = self._settings.instance_id
+        self._fleet.store.put(Record.of(kind, key, owner_id, version, body))
+
+
+def _keepers(members: Iterable[MemberBody]) -> tuple[RosterMember, ...]:
+    keepers = [
+        RosterMember(member.instance_id, member.incarnation, member.failure_domain)
+        for member in members
+        if member.phase == MemberPhase.SERVING and Role.ENTRY in member.roles
+    ]
+    return tuple(sorted(keepers, key=lambda keeper: keeper.instance_id))
--- /dev/null
+++ b/packages/cardamomrun-control/src/cardamomrun_control/state.py
@@ -0,0 +1,390 @@
+"""The control state: environments, first answers, audit trail and claims roster.
+
+`ControlState` applies typed commands in the order of the log. It is deterministic:
+the time of a command is set by the leader that proposes it.
+"""
+
+import hashlib
+from dataclasses import astuple, dataclass, replace
+from functools import singledispatchmethod
+from typing import Any
+
+from cardamomrun_base.codec import decode, encode, message
+from cardamomrun_base.documents import document_digest
+from cardamomrun_base.model import (
+    EnvironmentBody,
+    EnvironmentId,
+    RosterBody,
+    RosterMember,
+    Stage,
+    environment_id,
+)
+from cardamomrun_control.audit import GENESIS_HASH, AuditEntry, chain
+
+__all__ = [
+    "ApplyDocument",
+    "ChangeResult",
+    "ChangeVoters",
+    "ControlState",
+    "DocumentVersion",
+    "PromoteDocument",
+    "RefusedAttempt",
+    "RollBackDocument",
+    "SetRoster",
+    "VoterEntry",
+    "Voters",
+]
+
+# Rollback reaches this many versions back. The bytes are stored once per digest.
+HISTORY_COUNT = 10
+# At 290 changes a day, first answers are kept for more than two months.
+FIRST_ANSWER_COUNT = 20_000
+
+DONE = "done"
+CONFLICT_VERSION = "version-conflict"
+CONFLICT_NUMBER = "change-number-conflict"
+REFUSED_DIGEST = "digest-conflict"
+REFUSED_HISTORY = "unknown-version"
+
+
+@message("control-apply")
+@dataclass(frozen=True)
+class ApplyDocument:
+    """Put a document in force in the trial stage."""
+
+    operator: str
+    change_number: int
+    expected_version: int
+    at_ms: int
+    service: str
+    document: bytes
+
+
+@message("control-promote")
+@dataclass(frozen=True)
+class PromoteDocument:
+    """Copy the trial's bytes to production if they have the digest named."""
+
+    operator: str
+    change_number: int
+    expected_version: int
+    at_ms: int
+    service: str
+    digest: str
+
+
+@message("control-rollback")
+@dataclass(frozen=True)
+class RollBackDocument:
+    """Make a new version with the bytes of an earlier one."""
+
+    operator: str
+    change_number: int
+    expected_version: int
+    at_ms: int
+    service: str
+    stage: str
+    to_version: int
+
+
+@message("control-refused")
+@dataclass(frozen=True)
+class RefusedAttempt:
+    """An authentic attempt that was refused before it became a change."""
+
+    operator: str
+    at_ms: int
+    environment: EnvironmentId
+    action: str
+    digest: str
+    outcome: str
+
+
+@message("control-set-roster")
+@dataclass(frozen=True)
+class SetRoster:
+    """Set the keepers of claims; ignored unless the epoch is still `expected_epoch`."""
+
+    at_ms: int
+    expected_epoch: int
+    members: tuple[RosterMember, ...]
+
+
+@dataclass(frozen=True)
+class VoterEntry:
+    """A control instance; a learner gets the log and counts for no majority."""
+
+    instance_id: str
+    peer_address: str
+    replica_id: str
+    is_learner: bool
+
+
+@message("control-voters")
+@dataclass(frozen=True)
+class Voters:
+    """The control instances; `cluster_id` tells apart logs that began separately."""
+
+    cluster_id: str
+    entries: tuple[VoterEntry, ...]
+
+
+@message("control-change-voters")
+@dataclass(frozen=True)
+class ChangeVoters:
+    """Replace the set of voters; it differs by one instance from the one before."""
+
+    operator: str
+    at_ms: int
+    action: str
+    voters: Voters
+
+
+Change = ApplyDocument | PromoteDocument | RollBackDocument
+
+
+@message("control-result")
+@dataclass(frozen=True)
+class ChangeResult:
+    """The answer to a change; `version` and `digest` are those now in force."""
+
+    outcome: str
+    environment: EnvironmentId
+    version: int
+    digest: str
+    detail: str = ""
+
+    @property
+    def is_done(self) -> bool:
+        """True if the change was made."""
+        return self.outcome == DONE
+
+
+@dataclass(frozen=True)
+class DocumentVersion:
+    """One version of an environment; `revision` is its index in the log."""
+
+    version: int
+    digest: str
+    revision: int
+    at_ms: int
+    operator: str
+    action: str
+
+
+NO_VERSION = DocumentVersion(0, "", 0, 0, "", "")
+
+
+@dataclass(frozen=True)
+class _FirstAnswer:
+    operator: str
+    change_number: int
+    content_hash: str
+    result: ChangeResult
+
+
+@message("control-state")
+@dataclass(frozen=True)
+class _StateImage:
+    histories: dict[EnvironmentId, tuple[DocumentVersion, ...]]
+    documents: dict[str, bytes]
+    answers: tuple[_FirstAnswer, ...]
+    audit: tuple[AuditEntry, ...]
+    roster: RosterBody
+
+
+NO_ROSTER = RosterBody(0, (), ())
+
+
+class ControlState:
+    """Environments with their history, first answers, audit trail and roster."""
+
+    def __init__(self) -> None:
+        self._load(_StateImage({}, {}, (), (), NO_ROSTER))
+
+    def _load(self, image: _StateImage) -> None:
+        self._histories = {key: list(value) for key, value in image.histories.items()}
+        self._documents = dict(image.documents)
+        self._answers = {(a.operator, a.change_number): a for a in image.answers}
+        self.audit = list(image.audit)
+        self.roster = image.roster
+
+    def snapshot(self) -> bytes:
+        """Return the whole state in encoded form."""
+        histories = {key: tuple(value) for key, value in self._histories.items()}
+        answers = tuple(self._answers.values())
+        audit = tuple(self.audit)
+        image = _StateImage(histories, self._documents, answers, audit, self.roster)
+        return encode(image)
+
+    def restore(self, data: bytes) -> None:
+        """Replace the state with one returned by `snapshot`."""
+        self._load(decode(data))
+
+    def environments(self) -> list[EnvironmentBody]:
+        """Return what is in force in every environment."""
+        bodies = [self.body(key) for key in self._histories]
+        return [body for body in bodies if body is not None]
+
+    def body(self, environment: EnvironmentId) -> EnvironmentBody | None:
+        """Return what is in force in an environment."""
+        now = self.current(environment)
+        if now.version == 0:
+            return None
+        document = self._documents[now.digest]
+        return EnvironmentBody(
+            environment, now.version, now.revision, now.digest, document
+        )
+
+    def current(self, environment: EnvironmentId) -> DocumentVersion:
+        """Return the version in force; version 0 if there is none."""
+        history = self._histories.get(environment)
+        return history[-1] if history else NO_VERSION
+
+    def history(self, environment: EnvironmentId) -> list[DocumentVersion]:
+        """Return the versions that a rollback can name, oldest first."""
+        return list(self._histories.get(environment, ()))
+
+    @singledispatchmethod
+    def apply(self, command: Any, index: int) -> Any:
+        """Apply a committed command; `index` is its index in the log."""
+        raise TypeError(f"unknown command {type(command).__name__}")
+
+    @apply.register
+    def _apply(self, command: ApplyDocument, index: int) -> ChangeResult:
+        environment = environment_id(command.service, Stage.TRIAL)
+        return self._change(command, environment, "apply", index)
+
+    @apply.register
+    def _promote(self, command: PromoteDocument, index: int) -> ChangeResult:
+        environment = environment_id(command.service, Stage.PRODUCTION)
+        return self._change(command, environment, "promote", index)
+
+    @apply.register
+    def _roll_back(self, command: RollBackDocument, index: int) -> ChangeResult:
+        environment = environment_id(command.service, command.stage)
+        return self._change(command, environment, "rollback", index)
+
+    @apply.register
+    def _refused(self, command: RefusedAttempt, index: int) -> None:
+        version = self.current(command.environment).version
+        self._add_audit(
+            command, command.environment, command.action, version, version,
+            command.digest, command.outcome,
+        )  # fmt: skip
+
+    @apply.register
+    def _set_roster(self, command: SetRoster, index: int) -> RosterBody:
+        if command.expected_epoch == self.roster.epoch:
+            previous = self.roster.members
+            epoch = self.roster.epoch + 1
+            self.roster = RosterBody(epoch, command.members, previous)
+        return self.roster
+
+    @apply.register
+    def _change_voters(self, command: ChangeVoters, index: int) -> Voters:
+        self._add_audit(command, "control", command.action, 0, 0, "", DONE)
+        return command.voters
+
+    def _change(
+        self, command: Change, environment: EnvironmentId, action: str, index: int
+    ) -> ChangeResult:
+        key = (command.operator, command.change_number)
+        content_hash = _content_hash(command)
+        first = self._answers.get(key)
+        if first is not None and first.content_hash == content_hash:
+            return first.result
+        before = self.current(environment)
+        if first is not None:
+            detail = f"number {command.change_number} was used for another change"
+            result = self._answer(environment, CONFLICT_NUMBER, detail)
+        else:
+            result = self._try_change(command, environment, action, index)
+            self._remember(_FirstAnswer(*key, content_hash, result))
+        digest = result.digest if result.is_done else _digest_named(command)
+        self._add_audit(
+            command, environment, action, before.version, result.version, digest,
+            result.outcome,
+        )  # fmt: skip
+        return result
+
+    def _try_change(
+        self, command: Change, environment: EnvironmentId, action: str, index: int
+    ) -> ChangeResult:
+        now = self.current(environment)
+        if command.expected_version != now.version:
+            detail = f"version {command.expected_version} was expected"
+            return self._answer(environment, CONFLICT_VERSION, detail)
+        document = self._document_for(command, environment)
+        if isinstance(document, ChangeResult):
+            return document
+        digest = document_digest(document)
+        version = DocumentVersion(
+            now.version + 1, digest, index, command.at_ms, command.operator, action
+        )
+        self._documents[digest] = document
+        history = self._histories.setdefault(environment, [])
+        history.append(version)
+        del history[:-HISTORY_COUNT]
+        self._drop_unused_documents()
+        return self._answer(environment, DONE, "")
+
+    def _document_for(
+        self, command: Change, environment: EnvironmentId
+    ) -> bytes | ChangeResult:
+        """Return the bytes that the command puts in force, or its refusal."""
+        if isinstance(command, ApplyDocument):
+            return command.document
+        if isinstance(command, PromoteDocument):
+            trial = self.body(environment_id(command.service, Stage.TRIAL))
+            if trial is not None and trial.digest == command.digest:
+                return trial.document
+            runs = "no document" if trial is None else f"digest {trial.digest}"
+            detail = f"the trial runs {runs}, not digest {command.digest}"
+            return self._answer(environment, REFUSED_DIGEST, detail)
+        for version in self.history(environment):
+            if version.version == command.to_version:
+                return self._documents[version.digest]
+        detail = f"version {command.to_version} is not in the history"
+        return self._answer(environment, REFUSED_HISTORY, detail)
+
+    def _answer(
+        self, environment: EnvironmentId, outcome: str, detail: str
+    ) -> ChangeResult:
+        now = self.current(environment)
+        return ChangeResult(outcome, environment, now.version, now.digest, detail)
+
+    def _remember(self, answer: _FirstAnswer) -> None:
+        self._answers[answer.operator, answer.change_number] = answer
+        if len(self._answers) > FIRST_ANSWER_COUNT:
+            del self._answers[next(iter(self._answers))]
+
+    def _drop_unused_documents(self) -> None:
+        used = {v.digest for history in self._histories.values() for v in history}
+        self._documents = {d: b for d, b in self._documents.items() if d in used}
+
+    def _add_audit(
+        self, command: Any, environment: EnvironmentId, action: str,
+        from_version: int, to_version: int, digest: str, outcome: str,
+    ) -> None:  # fmt: skip
+        previous = self.audit[-1].hash if self.audit else GENESIS_HASH
+        entry = AuditEntry(
+            len(self.audit) + 1, command.at_ms, command.operator, action, environment,
+            from_version, to_version, digest, outcome, previous,
+        )  # fmt: skip
+        self.audit.append(chain(entry))
+
+
+def _content_hash(command: Change) -> str:
+    """Return a hash of what the operator sent; the time is set by the leader."""
+    content = replace(command, at_ms=0)
+    text = repr((type(command).__name__, astuple(content)))
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
+def _digest_named(command: Change) -> str:
+    if isinstance(command, ApplyDocument):
+        return document_digest(command.document)
+    if isinstance(command, PromoteDocument):
+        return command.digest
+    return ""
--- /dev/null
+++ b/packages/cardamomrun-control/tests/builders.py
@@ -0,0 +1,274 @@
+"""Settings, documents, a fake fleet and a simulated cluster for the tests."""
+
+import asyncio
+import random
+import selectors
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from cardamomrun_base.clock import Clock
+from cardamomrun_base.codec import decode, encode
+from cardamomrun_base.errors import PeerTimeoutError, PeerUnreachableError
+from cardamomrun_base.settings import (
+    ControlSettings,
+    FleetSettings,
+    NodeSettings,
+    Voter,
+)
+from cardamomrun_control.agreement import Agreement
+from cardamomrun_control.state import ControlState
+from cardamomrun_control.storage import Disk, DurableLog
+
+TOKEN = "alice-token"
+
+
+class _SkippingSelector(selectors.DefaultSelector):
+    """Moves the virtual time on instead of waiting."""
+
+    loop = None
+
+    def select(self, timeout=None):
+        if timeout:
+            self.loop.virtual_s += timeout
+        return super().select(0)
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """An event loop whose time passes only while all tasks wait."""
+
+    def __init__(self):
+        self.virtual_s = 1_000.0
+        selector = _SkippingSelector()
+        selector.loop = self
+        super().__init__(selector)
+
+    def time(self):
+        return self.virtual_s
+
+
+class LoopClock(Clock):
+    """The time of the running event loop."""
+
+    def now_ms(self):
+        return asyncio.get_running_loop().time() * 1_000
+
+    def wall_ms(self):
+        return int(self.now_ms())
+
+    async def sleep_ms(self, duration_ms):
+        await asyncio.sleep(duration_ms / 1_000)
+
+
+class InlineDisk(Disk):
+    """Works on the event loop, so that a run in virtual time is deterministic."""
+
+    async def run(self, function):
+        await asyncio.sleep(0)
+        return function()
+
+    def sync(self, descriptor):
+        """Skip the device: the tests that use this end no process."""
+
+
+def run(main, limit_s=600):
+    """Run a coroutine in virtual time; a hang ends after `limit_s` virtual seconds."""
+    loop = VirtualLoop()
+    try:
+        return loop.run_until_complete(asyncio.wait_for(main, limit_s))
+    finally:
+        loop.close()
+
+
+def settings(folder, name="c1", voters=("c1",), **control):
+    control = ControlSettings(
+        data_folder=Path(folder) / name,
+        voters=tuple(Voter(v, f"127.0.0.1:{9000 + int(v[1:])}") for v in voters),
+        operator_tokens_file=Path(folder) / "tokens.json",
+        **{"election_timeout_ms": 1_000, "heartbeat_ms": 100, **control},
+    )
+    return NodeSettings(
+        name, "bc-interior", "kelowna-a", ("control",), "127.0.0.1", 8001, 8002, 8003,
+        FleetSettings(Path("key")), Path("tokens"), control,
+        roster_settle_ms=1_000, idempotency_retention_ms=60_000,
+    )  # fmt: skip
+
+
+def document(service="rota-desk", deadline_ms=10_000):
+    text = '{"service": "%s", "hosts": ["a.example"], "routes": [{"prefix": "/", "deadline_ms": %d}]}'
+    return (text % (service, deadline_ms)).encode()
+
+
+class FakeStore:
+    def __init__(self):
+        self.records = {}
+        self.puts = []
+
+    def get(self, kind, key):
+        return self.records.get((kind, key))
+
+    def put(self, record):
+        self.puts.append(record)
+        held = self.get(record.kind, record.key)
+        if held is not None and held.version >= record.version:
+            return False
+        self.records[record.kind, record.key] = record
+        return True
+
+
+@dataclass
+class Network:
+    """Faults per direction; `cuts` holds pairs (sender, receiver) that lose all."""
+
+    seed: int = 1
+    loss_ratio: float = 0.0
+    duplicate_ratio: float = 0.0
+    delay_ms: tuple[float, float] = (0.5, 2.0)
+    cuts: set = field(default_factory=set)
+    fleets: dict = field(default_factory=dict)
+
+    def __post_init__(self):
+        self.rng = random.Random(self.seed)
+        self.late = set()
+
+    def isolate(self, name):
+        for other in self.fleets:
+            self.cuts |= {(name, other), (other, name)}
+
+    def heal(self):
+        self.cuts.clear()
+
+    async def carry(self, sender, receiver, message, answer):
+        """Deliver in one direction, zero to two times; each copy has its own delay."""
+        if (sender, receiver) in self.cuts or self.rng.random() < self.loss_ratio:
+            return
+        for _ in range(1 + (self.rng.random() < self.duplicate_ratio)):
+            delay_s = self.rng.uniform(*self.delay_ms) / 1_000
+            task = asyncio.ensure_future(
+                self._deliver(sender, receiver, encode(message), answer, delay_s)
+            )
+            self.late.add(task)
+            task.add_done_callback(self.late.discard)
+
+    async def _deliver(self, sender, receiver, data, answer, delay_s):
+        await asyncio.sleep(delay_s)
+        await answer(sender, receiver, decode(data))
+
+
+class FakeFleet:
+    """One instance's end of a `Network`."""
+
+    def __init__(self, name, network):
+        self.instance_id = name
+        self.network = network
+        self.store = FakeStore()
+        self.handlers = {}
+        self.member_list = []
+        self.addresses = {}
+        network.fleets[name] = self
+
+    def handle(self, message_type, handler):
+        self.handlers[message_type] = handler
+
+    def add_address(self, instance_id, peer_address):
+        self.addresses[instance_id] = peer_address
+
+    def members(self):
+        return self.member_list
+
+    def may_be_behind(self):
+        return False
+
+    async def request(self, instance_id, message, *, timeout_ms):
+        if instance_id not in self.network.fleets:
+            raise PeerUnreachableError("no such peer.", remedy="none")
+        result = asyncio.get_running_loop().create_future()
+
+        async def arrived(sender, receiver, request):
+            handler = self.network.fleets[receiver].handlers.get(type(request))
+            if handler is None:
+                return
+            try:
+                answer = await handler(sender, request)
+            except Exception:
+                return
+            await self.network.carry(receiver, sender, answer, returned)
+
+        async def returned(sender, receiver, answer):
+            if not result.done():
+                result.set_result(answer)
+
+        await self.network.carry(self.instance_id, instance_id, message, arrived)
+        try:
+            async with asyncio.timeout(timeout_ms / 1_000):
+                return await result
+        except TimeoutError as error:
+            raise PeerTimeoutError("no answer.", remedy="none") from error
+
+
+class Replica:
+    """An agreement with its state; `crash` and `start` keep the folder."""
+
+    def __init__(self, cluster, name, voters):
+        self.cluster, self.name, self.voters = cluster, name, voters
+        self.settings = settings(cluster.folder, name, voters, **cluster.control)
+
+    async def start(self):
+        self.fleet = FakeFleet(self.name, self.cluster.network)
+        self.state = ControlState()
+        self.log = DurableLog(self.settings.control.data_folder, InlineDisk())
+        self.agreement = Agreement(
+            self.settings, LoopClock(), self.fleet, self.log, self.state,
+            random.Random(f"{self.cluster.network.seed}{self.name}"),
+        )  # fmt: skip
+        await self.agreement.start()
+
+    async def crash(self):
+        del self.cluster.network.fleets[self.name]
+        await self.agreement.stop()
+
+
+class Cluster:
+    """Replicas in one event loop over one `Network`."""
+
+    def __init__(self, folder, count=3, network=None, **control):
+        self.folder, self.control = folder, control
+        self.network = network or Network()
+        names = tuple(f"c{i + 1}" for i in range(count))
+        self.replicas = {name: Replica(self, name, names) for name in names}
+
+    async def __aenter__(self):
+        for replica in self.replicas.values():
+            await replica.start()
+        return self
+
+    async def __aexit__(self, *_):
+        for replica in self.replicas.values():
+            if replica.name in self.network.fleets:
+                await replica.crash()
+
+    def running(self):
+        return [r for r in self.replicas.values() if r.name in self.network.fleets]
+
+    async def leader(self, among=None):
+        """Wait for an instance that holds the lease."""
+        holders = []
+
+        def found():
+            replicas = among or self.running()
+            holders[:] = [r for r in replicas if r.agreement.holds_lease()]
+            return holders
+
+        await until(found)
+        return holders[0]
+
+    async def converged(self, among=None):
+        """Wait until all running replicas have applied the same index."""
+        replicas = among or self.running()
+        await until(lambda: len({r.agreement.applied_index for r in replicas}) == 1)
+
+
+async def until(condition, limit_s=60):
+    """Wait for a condition in the time of the event loop."""
+    async with asyncio.timeout(limit_s):
+        while not condition():
+            await asyncio.sleep(0.01)
