--- /dev/null
+++ b/packages/cardamomrun-requests/src/cardamomrun_requests/claims.py
@@ -0,0 +1,321 @@
+"""Claims of idempotency keys at a quorum of keepers."""
+
+# Why a key runs at most once in one retention time:
+#
+# An attempt runs only with grants of a majority of the key's keepers, and two
+# majorities of the same keepers share one keeper. That keeper grants the second
+# attempt only if it released, expired or forgot the first. It releases only an attempt
+# that was given up before its first byte and that sends nothing later, since a release
+# names its attempt. It expires a claim one retention time after its grant; by then the
+# first attempt has started or has passed `start_before_ms`, which is counted from
+# before the first message and so lies before the end of every grant. It forgets only by
+# a restart, and then abstains for one retention time unless the roster names its new
+# incarnation.
+#
+# When the roster changes, an instance that knows the change needs a majority of the
+# previous keepers too, and these meet every majority that an instance with the
+# previous roster can get. A keeper that is named with another incarnation than before
+# does not count among the previous keepers, since it forgot what it granted as one.
+# A keeper that knows a newer roster abstains from older requests.
+#
+# Lost, delayed and repeated messages add grants that nobody uses, never votes: an
+# answer counts once, by keeper, in the claim that asked. An attempt that gives up
+# releases its key at every keeper it asked, including the silent ones.
+#
+# Limits: the argument needs clocks that advance at about the same rate and do not stop
+# while a process is frozen, a sender that checks `start_before_ms` directly before
+# the first byte, and records that reach a majority of the previous keepers within one
+# retention time of a roster change.
+
+import asyncio
+import secrets
+from collections.abc import Callable, Coroutine, Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+from cardamomrun_base.clock import MS_PER_S, Clock
+from cardamomrun_base.errors import CardamomrunError
+from cardamomrun_base.hashing import rank
+from cardamomrun_base.interfaces import (
+    AlreadyDone,
+    ClaimKey,
+    ClaimResult,
+    Fleet,
+    KeyMismatch,
+    NoQuorum,
+    StillRunning,
+    UnknownEnd,
+    Won,
+)
+from cardamomrun_base.messages import ClaimAnswer, ClaimRequest, ClaimUpdate
+from cardamomrun_base.model import InstanceId, Kind, Record, RosterBody, RosterMember
+from cardamomrun_base.settings import NodeSettings
+from cardamomrun_requests.keeper import (
+    ABSTAINS,
+    DONE,
+    GRANTED,
+    HELD,
+    MISMATCH,
+    RELEASED,
+    ROSTER_KEY,
+    RUNNING,
+    UNKNOWN,
+    Keeper,
+)
+
+__all__ = ["QuorumClaims", "keepers_of"]
+
+KEEPER_COUNT = 3
+CLAIM_MS = 250
+START_WITHIN_MS = 5_000
+
+# Retries of a settlement last about 6 s in all, longer than a lost link takes to be
+# replaced. A keeper that misses it reports the attempt as running, never as free.
+UPDATE_TRY_COUNT = 5
+UPDATE_TIMEOUT_MS = 1_000
+UPDATE_PAUSE_MS = 200
+
+
+def keepers_of(
+    key_hash: str, members: Iterable[RosterMember]
+) -> tuple[RosterMember, ...]:
+    """Return the keepers of a key: 3, in different failure domains if possible."""
+    by_id = {member.instance_id: member for member in members}
+    ranked = [by_id[instance_id] for instance_id in rank(key_hash, by_id)]
+    chosen: list[RosterMember] = []
+    domains: set[str] = set()
+    for member in ranked:
+        if member.failure_domain not in domains:
+            domains.add(member.failure_domain)
+            chosen.append(member)
+    chosen += [member for member in ranked if member not in chosen]
+    return tuple(chosen[:KEEPER_COUNT])
+
+
+@dataclass
+class _Electorate:
+    """Keepers of which a majority must grant, by id."""
+
+    keeper_count: int
+    voter_ids: frozenset[InstanceId]
+
+    def is_won(self, granted_ids: set[InstanceId]) -> bool:
+        return len(self.voter_ids & granted_ids) * 2 > self.keeper_count
+
+
+@dataclass
+class _Ballot:
+    """The answers to one claim."""
+
+    electorates: tuple[_Electorate, ...]
+    asked_ids: tuple[InstanceId, ...]
+    granted_ids: set[InstanceId] = field(default_factory=set)
+    states: dict[str, int] = field(default_factory=dict)
+
+    def count(self, keeper_id: InstanceId, answer: ClaimAnswer) -> None:
+        if answer.verdict == GRANTED:
+            self.granted_ids.add(keeper_id)
+        elif answer.verdict == MISMATCH:
+            self.states[MISMATCH] = 0
+        elif answer.verdict == HELD:
+            self.states[answer.state] = answer.status
+
+    def is_won(self) -> bool:
+        # A keeper that missed a settlement expires the key earlier than one that has
+        # it, so a known end weighs more than a majority.
+        if DONE in self.states:
+            return False
+        return all(one.is_won(self.granted_ids) for one in self.electorates)
+
+    def is_decided(self) -> bool:
+        """Return True if no further answer may change the result."""
+        return self.is_won() or DONE in self.states
+
+    def result_if_lost(self) -> ClaimResult:
+        if DONE in self.states:
+            return AlreadyDone(self.states[DONE])
+        if MISMATCH in self.states:
+            return KeyMismatch()
+        if UNKNOWN in self.states:
+            return UnknownEnd()
+        if RUNNING in self.states:
+            return StillRunning()
+        return NoQuorum()
+
+
+class QuorumClaims:
+    """Claims by this instance; implements `cardamomrun_base.interfaces.Claims`.
+
+    `keeper` is the keeper of this instance, which is asked without a message.
+    `claim_ms` bounds the time of one claim.
+    """
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        clock: Clock,
+        fleet: Fleet,
+        *,
+        keeper: Keeper | None = None,
+        claim_ms: int = CLAIM_MS,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._fleet = fleet
+        self._keeper = keeper
+        self._claim_ms = claim_ms
+        self._roster: RosterBody | None = None
+        self._roster_arrived_ms = 0.0
+        self._tasks: set[asyncio.Task] = set()
+        record = fleet.store.get(Kind.ROSTER, ROSTER_KEY)
+        if record is not None:
+            self._learn_roster(record)
+        fleet.store.subscribe(Kind.ROSTER, self._learn_roster)
+
+    async def claim(self, key: ClaimKey) -> ClaimResult:
+        """Reserve a key for one attempt at a quorum of its keepers.
+
+        Returns within `claim_ms`; whatever it returns but `Won`, the request must not
+        run now.
+        """
+        start_before_ms = self._clock.now_ms() + self._start_within_ms()
+        roster = self._roster
+        if roster is None or not roster.members:
+            return NoQuorum()
+        ballot = self._ballot(key.key_hash, roster)
+        attempt_id = secrets.token_hex(16)
+        request = ClaimRequest(
+            key_hash=key.key_hash,
+            request_hash=key.request_hash,
+            attempt_id=attempt_id,
+            origin_id=self._fleet.instance_id,
+            roster_epoch=roster.epoch,
+        )
+        await self._poll(ballot, request)
+        if ballot.is_won() and self._clock.now_ms() < start_before_ms:
+            return Won(key, attempt_id, start_before_ms)
+        # A silent keeper may have granted and its answer been lost.
+        update = ClaimUpdate(key.key_hash, attempt_id, RELEASED)
+        self._send_updates(update, ballot.asked_ids)
+        return ballot.result_if_lost()
+
+    async def settle_done(self, won: Won, status: int) -> None:
+        """Tell the keepers in the background that the request was run and answered."""
+        self._settle(won, DONE, status)
+
+    async def settle_unknown(self, won: Won) -> None:
+        """Tell the keepers in the background that the end of the request is unknown."""
+        self._settle(won, UNKNOWN, 0)
+
+    async def release(self, won: Won) -> None:
+        """Give the key back in the background; allowed only if it was not run."""
+        self._settle(won, RELEASED, 0)
+
+    async def finish(self) -> None:
+        """Wait for updates under way; their retries are bounded."""
+        while self._tasks:
+            await asyncio.wait(set(self._tasks))
+
+    def _start_within_ms(self) -> float:
+        # With a very short retention time, grants would end before a late start.
+        return min(START_WITHIN_MS, self._settings.idempotency_retention_ms / 2)
+
+    def _learn_roster(self, record: Record) -> None:
+        if record.key != ROSTER_KEY:
+            return
+        roster: RosterBody = record.content
+        if self._roster is None or roster.epoch != self._roster.epoch:
+            self._roster_arrived_ms = self._clock.now_ms()
+        self._roster = roster
+
+    def _previous_counts(self) -> bool:
+        age_ms = self._clock.now_ms() - self._roster_arrived_ms
+        return age_ms < self._settings.idempotency_retention_ms
+
+    def _ballot(self, key_hash: str, roster: RosterBody) -> _Ballot:
+        current = keepers_of(key_hash, roster.members)
+        ids = [member.instance_id for member in current]
+        electorates = [_Electorate(len(current), frozenset(ids))]
+        if roster.previous_members and self._previous_counts():
+            previous = keepers_of(key_hash, roster.previous_members)
+            electorates.append(_previous_electorate(previous, roster.members))
+            ids += [member.instance_id for member in previous]
+        return _Ballot(tuple(electorates), tuple(dict.fromkeys(ids)))
+
+    async def _poll(self, ballot: _Ballot, request: ClaimRequest) -> None:
+        """Ask all keepers at once, until it is decided or the time is over."""
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + self._claim_ms / MS_PER_S
+        asked = {
+            self._start(self._ask(keeper_id, request)): keeper_id
+            for keeper_id in ballot.asked_ids
+        }
+        pending = set(asked)
+        while pending and not ballot.is_decided():
+            left_s = end_s - loop.time()
+            if left_s <= 0:
+                return
+            finished, pending = await asyncio.wait(
+                pending, timeout=left_s, return_when=asyncio.FIRST_COMPLETED
+            )
+            for task in finished:
+                ballot.count(asked[task], task.result())
+
+    async def _ask(self, keeper_id: InstanceId, request: ClaimRequest) -> ClaimAnswer:
+        try:
+            answer = await self._send(keeper_id, request, self._claim_ms)
+        except CardamomrunError:
+            return ClaimAnswer(ABSTAINS)
+        return answer if isinstance(answer, ClaimAnswer) else ClaimAnswer(ABSTAINS)
+
+    async def _send(self, keeper_id: InstanceId, message: Any, timeout_ms: int) -> Any:
+        if keeper_id != self._fleet.instance_id or self._keeper is None:
+            return await self._fleet.request(keeper_id, message, timeout_ms=timeout_ms)
+        handler: Callable[[InstanceId, Any], Coroutine] = (
+            self._keeper.handle_request
+            if isinstance(message, ClaimRequest)
+            else self._keeper.handle_update
+        )
+        return await handler(keeper_id, message)
+
+    def _settle(self, won: Won, state: str, status: int) -> None:
+        update = ClaimUpdate(won.key.key_hash, won.attempt_id, state, status)
+        if self._roster is not None:
+            ballot = self._ballot(won.key.key_hash, self._roster)
+            self._send_updates(update, ballot.asked_ids)
+
+    def _send_updates(
+        self, update: ClaimUpdate, keeper_ids: Iterable[InstanceId]
+    ) -> None:
+        for keeper_id in keeper_ids:
+            self._start(self._deliver(keeper_id, update))
+
+    async def _deliver(self, keeper_id: InstanceId, update: ClaimUpdate) -> None:
+        pause_ms = UPDATE_PAUSE_MS
+        for _ in range(UPDATE_TRY_COUNT):
+            try:
+                await self._send(keeper_id, update, UPDATE_TIMEOUT_MS)
+                return
+            except CardamomrunError:
+                await self._clock.sleep_ms(pause_ms)
+                pause_ms *= 2
+
+    def _start(self, work: Coroutine) -> asyncio.Task:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+
+def _previous_electorate(
+    previous: tuple[RosterMember, ...], current: tuple[RosterMember, ...]
+) -> _Electorate:
+    """Return the previous keepers, without the votes of those that restarted since."""
+    incarnations = {member.instance_id: member.incarnation for member in current}
+    voters = frozenset(
+        member.instance_id
+        for member in previous
+        if incarnations.get(member.instance_id, member.incarnation)
+        == member.incarnation
+    )
+    return _Electorate(len(previous), voters)
--- /dev/null
+++ b/packages/cardamomrun-requests/src/cardamomrun_requests/quarantine.py
@@ -0,0 +1,350 @@
+"""Quarantine of requests that crash backend servers.
+
+Bound on deaths: a request that crashes each server that runs it kills at most 2 servers
+plus those that run it at the moment the second death is decided here or its record
+arrives at another instance. On one instance, a request whose fingerprint has a death
+under decision waits for that decision in `decided`, and one whose fingerprint has one
+counted death runs alone there until its attempt ends or `TURN_MS` passes.
+
+`docs/design.md`, section 4.6, gives the rule by which a death counts.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager, suppress
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from cardamomrun_base.clock import MS_PER_S, Clock
+from cardamomrun_base.interfaces import Attempt, Backends, Fleet
+from cardamomrun_base.logs import PartLog
+from cardamomrun_base.model import (
+    BackendBody,
+    BackendPhase,
+    CrashBody,
+    EnvironmentId,
+    Kind,
+    Record,
+    ServerId,
+    backend_key,
+)
+from cardamomrun_base.settings import NodeSettings
+
+__all__ = ["Connect", "CrashQuarantine"]
+
+DEATH_COUNT = 2
+DEATH_MEMORY_MS = 600_000
+QUARANTINE_MS = 600_000
+
+# Deaths that happen this close together have a common cause if they are a quarter of
+# the service or more.
+MASS_MS = 5_000
+MASS_SHARE = 4
+
+# A crashing process closes its connections before its listener, and may dump core in
+# between.
+CONFIRM_MS = 500
+CONFIRM_PAUSE_MS = 25
+CONNECT_TIMEOUT_MS = 200
+
+# Longer than a decision takes, so that a decision is missed only when the loop stalls.
+DECISION_WAIT_MS = 1_000
+TURN_MS = 2_000
+
+MAX_FINGERPRINT_COUNT = 4_096
+
+_log = PartLog("upstream")
+
+
+class Connect(StrEnum):
+    """How an attempt to connect ended."""
+
+    OPEN = "open"
+    REFUSED = "refused"
+    UNREACHABLE = "unreachable"
+
+
+async def _connect(address: str) -> Connect:
+    host, _, port = address.rpartition(":")
+    try:
+        _, writer = await asyncio.wait_for(
+            asyncio.open_connection(host.strip("[]"), int(port)),
+            CONNECT_TIMEOUT_MS / MS_PER_S,
+        )
+    except ConnectionRefusedError:
+        return Connect.REFUSED
+    except OSError:
+        return Connect.UNREACHABLE
+    writer.close()
+    with suppress(OSError):
+        await writer.wait_closed()
+    return Connect.OPEN
+
+
+@dataclass(frozen=True)
+class _Death:
+    """One run of a server that ended, at the time this instance learnt of it."""
+
+    server_id: ServerId
+    incarnation: int
+    time_ms: float
+
+
+@dataclass
+class _Suspect:
+    """Deaths charged to one fingerprint; `deciding` counts decisions under way."""
+
+    environment: EnvironmentId
+    deaths: list[_Death] = field(default_factory=list)
+    deciding: int = 0
+    decided: asyncio.Event = field(default_factory=asyncio.Event)
+    turn: asyncio.Lock = field(default_factory=asyncio.Lock)
+
+
+class CrashQuarantine:
+    """Implements `cardamomrun_base.interfaces.Quarantine` on crash records.
+
+    The front awaits `decided` and then asks `is_quarantined` before each attempt, or
+    uses `turn`, which does the first and keeps suspects apart. `connect` opens a fresh
+    connection to `host:port`; tests replace it.
+    """
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        clock: Clock,
+        fleet: Fleet,
+        backends: Backends,
+        *,
+        connect: Callable[[str], Awaitable[Connect]] = _connect,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._fleet = fleet
+        self._backends = backends
+        self._connect = connect
+        self._suspects: dict[str, _Suspect] = {}
+        self._service_deaths: dict[EnvironmentId, dict[ServerId, _Death]] = {}
+        self._seen: dict[str, BackendBody] = {}
+        for record in fleet.store.all(Kind.BACKEND):
+            self._seen[record.key] = record.content
+        fleet.store.subscribe(Kind.BACKEND, self._learn_backend)
+        for record in fleet.store.all(Kind.CRASH):
+            self._learn_crash(record)
+        fleet.store.subscribe(Kind.CRASH, self._learn_crash)
+
+    def is_quarantined(self, environment: EnvironmentId, fingerprint: str) -> bool:
+        """Return True if requests with this fingerprint must not run now."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None or suspect.environment != environment:
+            return False
+        return self._clock.now_ms() < self._quarantined_until_ms(suspect)
+
+    async def decided(self, fingerprint: str) -> None:
+        """Wait, at most `DECISION_WAIT_MS`, while a death is being decided."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None or not suspect.deciding:
+            return
+        with suppress(TimeoutError):
+            await asyncio.wait_for(suspect.decided.wait(), DECISION_WAIT_MS / MS_PER_S)
+
+    @asynccontextmanager
+    async def turn(
+        self, environment: EnvironmentId, fingerprint: str
+    ) -> AsyncIterator[bool]:
+        """Hold one attempt of a request; the value is False if it must not run.
+
+        Costs one dictionary look-up for a fingerprint without deaths. Attempts of a
+        fingerprint with a counted death run one after the other; each waits at most
+        `TURN_MS` and is refused then. The caller leaves the context after
+        `connection_died` or the end of the answer head.
+        """
+        await self.decided(fingerprint)
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None or not self._counted(suspect):
+            yield True
+            return
+        try:
+            await asyncio.wait_for(suspect.turn.acquire(), TURN_MS / MS_PER_S)
+        except TimeoutError:
+            yield False
+            return
+        try:
+            yield not self.is_quarantined(environment, fingerprint)
+        finally:
+            suspect.turn.release()
+
+    async def connection_died(self, attempt: Attempt, fingerprint: str) -> bool:
+        """Find out whether the server died of this request; True if a death counted.
+
+        Takes at most about `CONFIRM_MS` + `CONNECT_TIMEOUT_MS`.
+        """
+        suspect = self._suspect(attempt.environment, fingerprint)
+        suspect.deciding += 1
+        suspect.decided.clear()
+        try:
+            if not await self._is_dead(attempt.server):
+                return False
+            return self._charge(attempt.server, fingerprint)
+        finally:
+            suspect.deciding -= 1
+            if not suspect.deciding:
+                suspect.decided.set()
+            self._forget_if_clear(fingerprint)
+
+    async def _is_dead(self, server: BackendBody) -> bool:
+        end_ms = self._clock.now_ms() + CONFIRM_MS
+        while True:
+            announced = self._announced(server)
+            if announced is not None:
+                if announced.incarnation > server.incarnation:
+                    return True
+                if announced.phase is BackendPhase.DRAINING:
+                    # A planned stop closes connections and listener too.
+                    return False
+            result = await self._connect(server.address)
+            if result is not Connect.OPEN:
+                return result is Connect.REFUSED
+            if self._clock.now_ms() >= end_ms:
+                return False
+            await self._clock.sleep_ms(CONFIRM_PAUSE_MS)
+
+    def _announced(self, server: BackendBody) -> BackendBody | None:
+        key = backend_key(server.environment, server.server_id)
+        record = self._fleet.store.get(Kind.BACKEND, key)
+        return None if record is None else record.content
+
+    def _charge(self, server: BackendBody, fingerprint: str) -> bool:
+        """Note a confirmed death; publish it if it counts."""
+        death = _Death(server.server_id, server.incarnation, self._clock.now_ms())
+        self._note_service_death(server.environment, death)
+        suspect = self._suspect(server.environment, fingerprint)
+        if self._is_mass(suspect, death):
+            return False
+        body = CrashBody(
+            environment=server.environment,
+            fingerprint=fingerprint,
+            server_id=server.server_id,
+            server_incarnation=server.incarnation,
+            observer_id=self._fleet.instance_id,
+        )
+        record = Record.of(
+            Kind.CRASH,
+            f"{fingerprint}/{server.server_id}",
+            self._fleet.instance_id,
+            (server.incarnation, self._clock.wall_ms()),
+            body,
+            lifetime_ms=DEATH_MEMORY_MS,
+        )
+        self._fleet.store.put(record)
+        self._note_crash(body)
+        _log.warning(
+            "a server died while it ran a request",
+            environment=server.environment,
+            server_id=server.server_id,
+            fingerprint=fingerprint,
+        )
+        return True
+
+    def _learn_crash(self, record: Record) -> None:
+        self._note_crash(record.content)
+
+    def _note_crash(self, body: CrashBody) -> None:
+        now_ms = self._clock.now_ms()
+        suspect = self._suspect(body.environment, body.fingerprint)
+        run = (body.server_id, body.server_incarnation)
+        if run in [(death.server_id, death.incarnation) for death in suspect.deaths]:
+            return
+        kept_ms = DEATH_MEMORY_MS + QUARANTINE_MS
+        suspect.deaths = [
+            death for death in suspect.deaths if now_ms - death.time_ms < kept_ms
+        ]
+        suspect.deaths.append(_Death(*run, now_ms))
+
+    def _learn_backend(self, record: Record) -> None:
+        """Note deaths that other instances or the registrar found."""
+        body: BackendBody = record.content
+        before = self._seen.get(record.key)
+        self._seen[record.key] = body
+        if before is None or before.phase is BackendPhase.DRAINING:
+            return
+        restarted = body.incarnation > before.incarnation
+        ended = body.phase is BackendPhase.GONE
+        if before.phase is not BackendPhase.GONE and (restarted or ended):
+            death = _Death(body.server_id, before.incarnation, self._clock.now_ms())
+            self._note_service_death(body.environment, death)
+
+    def _note_service_death(self, environment: EnvironmentId, death: _Death) -> None:
+        deaths = self._service_deaths.setdefault(environment, {})
+        known = deaths.get(death.server_id)
+        # The end of one run is often seen twice: by its connection and by a record.
+        if known is None or known.incarnation < death.incarnation:
+            deaths[death.server_id] = death
+
+    def _is_mass(self, suspect: _Suspect, death: _Death) -> bool:
+        """Return True if too much of the service died around this death.
+
+        Servers that died of the same fingerprint are left out: in a service of 6, two
+        quick crashes would otherwise excuse each other and none would ever count.
+        """
+        own = {one.server_id for one in suspect.deaths} | {death.server_id}
+        others = [
+            one
+            for one in self._service_deaths.get(suspect.environment, {}).values()
+            if one.server_id not in own and abs(one.time_ms - death.time_ms) <= MASS_MS
+        ]
+        if not others:
+            return False
+        return (len(others) + 1) * MASS_SHARE >= self._server_count(suspect.environment)
+
+    def _server_count(self, environment: EnvironmentId) -> int:
+        view = self._backends.view(environment)
+        return len(
+            {
+                *view.healthy,
+                *view.ejected,
+                *view.avoided,
+                *view.starting,
+                *self._service_deaths.get(environment, ()),
+            }
+        )
+
+    def _counted(self, suspect: _Suspect) -> list[_Death]:
+        """Return the deaths that count, by time.
+
+        Asked anew each time, since a mass restart often shows only after its first
+        death.
+        """
+        now_ms = self._clock.now_ms()
+        kept_ms = DEATH_MEMORY_MS + QUARANTINE_MS
+        return [
+            death
+            for death in suspect.deaths
+            if now_ms - death.time_ms < kept_ms and not self._is_mass(suspect, death)
+        ]
+
+    def _quarantined_until_ms(self, suspect: _Suspect) -> float:
+        until_ms = float("-inf")
+        counted = self._counted(suspect)
+        for death in counted:
+            servers = {
+                one.server_id
+                for one in counted
+                if 0 <= death.time_ms - one.time_ms < DEATH_MEMORY_MS
+            }
+            if len(servers) >= DEATH_COUNT:
+                until_ms = max(until_ms, death.time_ms + QUARANTINE_MS)
+        return until_ms
+
+    def _suspect(self, environment: EnvironmentId, fingerprint: str) -> _Suspect:
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None:
+            if len(self._suspects) >= MAX_FINGERPRINT_COUNT:
+                del self._suspects[next(iter(self._suspects))]
+            suspect = self._suspects[fingerprint] = _Suspect(environment)
+        return suspect
+
+    def _forget_if_clear(self, fingerprint: str) -> None:
+        suspect = self._suspects.get(fingerprint)
+        if suspect and not suspect.deaths and not suspect.deciding:
+            del self._suspects[fingerprint]
