--- a/packages/cardamomrun-requests/src/cardamomrun_requests/quarantine.py
+++ b/packages/cardamomrun-requests/src/cardamomrun_requests/quarantine.py
@@ -2,9 +2,13 @@
 
 Bound on deaths: a request that crashes each server that runs it kills at most 2 servers
 plus those that run it at the moment the second death is decided here or its record
-arrives at another instance. On one instance, a request whose fingerprint has a death
-under decision waits for that decision in `decided`, and one whose fingerprint has one
-counted death runs alone there until its attempt ends or `TURN_MS` passes.
+arrives at another instance. With the 30 ms or so that a record takes, and `turn` on
+every instance, these are at most one per instance and the first burst: on one instance,
+a request whose fingerprint has a death under decision waits for the decision, and
+after a counted death such requests run one at a time until one is answered.
+
+A service with one server, or a request that always meets the same one, has no bound:
+a quarantine takes deaths of 2 different servers.
 
 `docs/design.md`, section 4.6, gives the rule by which a death counts.
 """
@@ -92,9 +96,14 @@
 
 @dataclass
 class _Suspect:
-    """Deaths charged to one fingerprint; `deciding` counts decisions under way."""
+    """Deaths charged to one fingerprint.
+
+    `deciding` counts decisions under way. `alone` is set from a counted death until an
+    attempt ends without one.
+    """
 
     environment: EnvironmentId
+    alone: bool = False
     deaths: list[_Death] = field(default_factory=list)
     deciding: int = 0
     decided: asyncio.Event = field(default_factory=asyncio.Event)
@@ -154,23 +163,31 @@
     ) -> AsyncIterator[bool]:
         """Hold one attempt of a request; the value is False if it must not run.
 
-        Costs one dictionary look-up for a fingerprint without deaths. Attempts of a
-        fingerprint with a counted death run one after the other; each waits at most
-        `TURN_MS` and is refused then. The caller leaves the context after
-        `connection_died` or the end of the answer head.
+        Costs one dictionary look-up for a fingerprint without deaths. After a counted
+        death, attempts with the fingerprint run one after the other until one is
+        answered; each waits at most `TURN_MS` and is refused then. The caller leaves
+        the context after `connection_died` or the end of the answer head, and by an
+        exception if the attempt did not run.
         """
         await self.decided(fingerprint)
         suspect = self._suspects.get(fingerprint)
-        if suspect is None or not self._counted(suspect):
+        if suspect is None or not suspect.deaths:
             yield True
             return
+        if not suspect.alone:
+            yield not self.is_quarantined(environment, fingerprint)
+            return
         try:
             await asyncio.wait_for(suspect.turn.acquire(), TURN_MS / MS_PER_S)
         except TimeoutError:
             yield False
             return
         try:
-            yield not self.is_quarantined(environment, fingerprint)
+            death_count = len(suspect.deaths)
+            may_run = not self.is_quarantined(environment, fingerprint)
+            yield may_run
+            if may_run and len(suspect.deaths) == death_count:
+                suspect.alone = False
         finally:
             suspect.turn.release()
 
@@ -217,9 +234,10 @@
     def _charge(self, server: BackendBody, fingerprint: str) -> bool:
         """Note a confirmed death; publish it if it counts."""
         death = _Death(server.server_id, server.incarnation, self._clock.now_ms())
-        self._note_service_death(server.environment, death)
         suspect = self._suspect(server.environment, fingerprint)
-        if self._is_mass(suspect, death):
+        is_mass = self._is_mass(suspect, death)
+        self._note_service_death(server.environment, death)
+        if is_mass:
             return False
         body = CrashBody(
             environment=server.environment,
@@ -255,31 +273,56 @@
         run = (body.server_id, body.server_incarnation)
         if run in [(death.server_id, death.incarnation) for death in suspect.deaths]:
             return
+        death = _Death(*run, now_ms)
+        if self._is_mass(suspect, death):
+            return
         kept_ms = DEATH_MEMORY_MS + QUARANTINE_MS
         suspect.deaths = [
-            death for death in suspect.deaths if now_ms - death.time_ms < kept_ms
+            one for one in suspect.deaths if now_ms - one.time_ms < kept_ms
         ]
-        suspect.deaths.append(_Death(*run, now_ms))
+        suspect.deaths.append(death)
+        suspect.alone = True
 
     def _learn_backend(self, record: Record) -> None:
         """Note deaths that other instances or the registrar found."""
         body: BackendBody = record.content
-        before = self._seen.get(record.key)
-        self._seen[record.key] = body
+        before = self._seen.pop(record.key, None)
+        ended = body.phase is BackendPhase.GONE
+        if not ended:
+            self._seen[record.key] = body
         if before is None or before.phase is BackendPhase.DRAINING:
             return
-        restarted = body.incarnation > before.incarnation
-        ended = body.phase is BackendPhase.GONE
-        if before.phase is not BackendPhase.GONE and (restarted or ended):
+        if ended or body.incarnation > before.incarnation:
             death = _Death(body.server_id, before.incarnation, self._clock.now_ms())
             self._note_service_death(body.environment, death)
 
     def _note_service_death(self, environment: EnvironmentId, death: _Death) -> None:
         deaths = self._service_deaths.setdefault(environment, {})
-        known = deaths.get(death.server_id)
         # The end of one run is often seen twice: by its connection and by a record.
-        if known is None or known.incarnation < death.incarnation:
-            deaths[death.server_id] = death
+        known = deaths.get(death.server_id)
+        if known is not None and known.incarnation >= death.incarnation:
+            return
+        deaths[death.server_id] = death
+        self._service_deaths[environment] = {
+            server_id: one
+            for server_id, one in deaths.items()
+            if death.time_ms - one.time_ms <= MASS_MS
+        }
+        self._withdraw_mass_deaths(environment)
+
+    def _withdraw_mass_deaths(self, environment: EnvironmentId) -> None:
+        """Forget charged deaths that a mass restart explains.
+
+        A mass restart often shows only after its first death was charged.
+        """
+        recent_ms = self._clock.now_ms() - MASS_MS
+        for suspect in self._suspects.values():
+            if suspect.environment == environment:
+                suspect.deaths = [
+                    death
+                    for death in suspect.deaths
+                    if death.time_ms < recent_ms or not self._is_mass(suspect, death)
+                ]
 
     def _is_mass(self, suspect: _Suspect, death: _Death) -> bool:
         """Return True if too much of the service died around this death.
@@ -287,10 +330,11 @@
         Servers that died of the same fingerprint are left out: in a service of 6, two
         quick crashes would otherwise excuse each other and none would ever count.
         """
+        service_deaths = self._service_deaths.get(suspect.environment, {})
         own = {one.server_id for one in suspect.deaths} | {death.server_id}
         others = [
             one
-            for one in self._service_deaths.get(suspect.environment, {}).values()
+            for one in service_deaths.values()
             if one.server_id not in own and abs(one.time_ms - death.time_ms) <= MASS_MS
         ]
         if not others:
@@ -309,27 +353,12 @@
             }
         )
 
-    def _counted(self, suspect: _Suspect) -> list[_Death]:
-        """Return the deaths that count, by time.
-
-        Asked anew each time, since a mass restart often shows only after its first
-        death.
-        """
-        now_ms = self._clock.now_ms()
-        kept_ms = DEATH_MEMORY_MS + QUARANTINE_MS
-        return [
-            death
-            for death in suspect.deaths
-            if now_ms - death.time_ms < kept_ms and not self._is_mass(suspect, death)
-        ]
-
     def _quarantined_until_ms(self, suspect: _Suspect) -> float:
         until_ms = float("-inf")
-        counted = self._counted(suspect)
-        for death in counted:
+        for death in suspect.deaths:
             servers = {
                 one.server_id
-                for one in counted
+                for one in suspect.deaths
                 if 0 <= death.time_ms - one.time_ms < DEATH_MEMORY_MS
             }
             if len(servers) >= DEATH_COUNT:
