Charge a death before it counts against its own fingerprint

Cause: in a service of 6, the second death of a fingerprint was noted as a service death before it was charged, and withdrew the first one as a mass restart; requests queued behind a suspect also stayed serial after it was cleared. Ruled out: leaving all deaths in the mass test, since two crashes within 5 s in a small service would then never count. Change: publish first, then note the service death; waiters leave the queue once an attempt is answered. Add tests of deaths, near misses and bursts.

--- a/packages/cardamomrun-requests/src/cardamomrun_requests/quarantine.py
+++ b/packages/cardamomrun-requests/src/cardamomrun_requests/quarantine.py
@@ -2,10 +2,11 @@
 
 Bound on deaths: a request that crashes each server that runs it kills at most 2 servers
 plus those that run it at the moment the second death is decided here or its record
-arrives at another instance. With the 30 ms or so that a record takes, and `turn` on
-every instance, these are at most one per instance and the first burst: on one instance,
-a request whose fingerprint has a death under decision waits for the decision, and
-after a counted death such requests run one at a time until one is answered.
+arrives at another instance. If all instances use `turn`, these are the first burst
+(attempts that began before the first death was decided) and at most one attempt per
+instance after it: a request whose fingerprint has a death under decision waits for the
+decision, and after a counted death such requests run one at a time until one is
+answered.
 
 A service with one server, or a request that always meets the same one, has no bound:
 a quarantine takes deaths of 2 different servers.
@@ -182,6 +183,10 @@
         except TimeoutError:
             yield False
             return
+        if not suspect.alone:
+            suspect.turn.release()
+            yield not self.is_quarantined(environment, fingerprint)
+            return
         try:
             death_count = len(suspect.deaths)
             may_run = not self.is_quarantined(environment, fingerprint)
@@ -235,10 +240,14 @@
         """Note a confirmed death; publish it if it counts."""
         death = _Death(server.server_id, server.incarnation, self._clock.now_ms())
         suspect = self._suspect(server.environment, fingerprint)
-        is_mass = self._is_mass(suspect, death)
+        counts = not self._is_mass(suspect, death)
+        if counts:
+            self._publish(server, fingerprint)
+        # After the charge, so that it is not taken as a death of another cause.
         self._note_service_death(server.environment, death)
-        if is_mass:
-            return False
+        return counts
+
+    def _publish(self, server: BackendBody, fingerprint: str) -> None:
         body = CrashBody(
             environment=server.environment,
             fingerprint=fingerprint,
@@ -262,7 +271,6 @@
             server_id=server.server_id,
             fingerprint=fingerprint,
         )
-        return True
 
     def _learn_crash(self, record: Record) -> None:
         self._note_crash(record.content)
--- /dev/null
+++ b/packages/cardamomrun-requests/tests/test_quarantine.py
@@ -0,0 +1,258 @@
+"""Crash quarantine: what counts as a death, and how far a crashing request gets."""
+
+import asyncio
+import socket
+from dataclasses import replace
+
+import pytest
+
+from cardamomrun_base.interfaces import Attempt, ServiceView
+from cardamomrun_base.model import BackendBody, BackendPhase, Kind, Record, backend_key
+from cardamomrun_requests.quarantine import Connect, CrashQuarantine, _connect
+
+from .claims_builders import FakeFleet, LoopClock, run, settings_of
+
+SERVICE = "s/production"
+
+
+class Service:
+    """Backend servers and the entry instances that see them, on virtual time."""
+
+    def __init__(self, count=30, instances=2):
+        self.servers = {f"b{n}": server_of(f"b{n}") for n in range(count)}
+        self.state = dict.fromkeys(self.servers, Connect.OPEN)
+        self.fleets = [FakeFleet(None, f"i{n}") for n in range(instances)]
+        for fleet in self.fleets:
+            fleet.store.peers = [one.store for one in self.fleets if one is not fleet]
+        for server in self.servers.values():
+            self.announce(server)
+        self.quarantines = [
+            CrashQuarantine(
+                settings_of(), LoopClock(), fleet, self, connect=self.connect
+            )
+            for fleet in self.fleets
+        ]
+
+    def view(self, environment):
+        return ServiceView(environment, tuple(self.servers), (), (), (), (), 0)
+
+    async def connect(self, address):
+        await sleep_ms(1)
+        return self.state[address]
+
+    def announce(self, server, counter=0):
+        self.servers[server.server_id] = server
+        key = backend_key(SERVICE, server.server_id)
+        version = (server.incarnation, counter)
+        self.fleets[0].store.put(Record.of(Kind.BACKEND, key, "i0", version, server))
+
+    def attempt(self, name):
+        return Attempt(SERVICE, self.servers[name], 0.0)
+
+    async def crash(self, name, fingerprint="f", at=0, end=Connect.REFUSED):
+        """Let a server end while it runs a request of instance `at`."""
+        attempt = self.attempt(name)
+        self.state[name] = end
+        return await self.quarantines[at].connection_died(attempt, fingerprint)
+
+    def quarantined(self, fingerprint="f"):
+        return [one.is_quarantined(SERVICE, fingerprint) for one in self.quarantines]
+
+
+def server_of(name):
+    return BackendBody(SERVICE, name, 1, name, "d", 4, 400, "i0", BackendPhase.SERVING)
+
+
+async def sleep_ms(duration_ms):
+    await asyncio.sleep(duration_ms / 1_000)
+
+
+@pytest.mark.parametrize("count", [2, 6, 30])
+def test_second_server_quarantines_everywhere_for_a_time(count):
+    """Guards against a third death, in small services too, and an endless quarantine."""
+
+    async def main():
+        service = Service(count)
+        assert await service.crash("b0")
+        assert service.quarantined() == [False, False]
+        assert await service.crash("b1", at=1)
+        assert service.quarantined() == [True, True]
+        assert service.quarantined("other customer") == [False, False]
+        await sleep_ms(599_000)
+        assert service.quarantined() == [True, True]
+        await sleep_ms(2_000)
+        assert service.quarantined() == [False, False]
+
+    run(main())
+
+
+def test_deaths_far_apart_or_of_one_server():
+    """Guards against a quarantine from two deaths that the rule does not pair."""
+
+    async def main():
+        service = Service()
+        assert await service.crash("b0")
+        service.announce(replace(service.servers["b0"], incarnation=2))
+        assert await service.crash("b0")
+        assert not any(service.quarantined())
+        await sleep_ms(601_000)
+        assert await service.crash("b1")
+        assert not any(service.quarantined())
+
+    run(main())
+
+
+async def port_closes_late(service):
+    async def close():
+        await sleep_ms(200)
+        service.state["b0"] = Connect.REFUSED
+
+    closing = asyncio.create_task(close())
+    counted = await service.crash("b0", end=Connect.OPEN)
+    await closing
+    return counted
+
+
+async def restarts_at_once(service):
+    attempt = service.attempt("b0")
+    service.announce(replace(service.servers["b0"], incarnation=2))
+    return await service.quarantines[0].connection_died(attempt, "f")
+
+
+async def only_the_connection_died(service):
+    return await service.crash("b0", end=Connect.OPEN)
+
+
+async def unreachable(service):
+    return await service.crash("b0", end=Connect.UNREACHABLE)
+
+
+async def drains(service):
+    service.announce(replace(service.servers["b0"], phase=BackendPhase.DRAINING), 1)
+    return await service.crash("b0")
+
+
+async def mass_restart_known(service):
+    for number in range(1, 8):
+        service.announce(replace(server_of(f"b{number}"), incarnation=2))
+    return await service.crash("b0")
+
+
+async def mass_restart_long_ago(service):
+    await mass_restart_known(service)
+    await sleep_ms(6_000)
+    return await service.crash("b9")
+
+
+DEATHS = {
+    "a dying process that closes its port late": (port_closes_late, True),
+    "a server that is back before the check": (restarts_at_once, True),
+    "a mass restart that is over": (mass_restart_long_ago, True),
+    "a silent connection taken as a death": (only_the_connection_died, False),
+    "a partition taken as a death": (unreachable, False),
+    "a planned stop taken as a death": (drains, False),
+    "a mass restart taken as a death": (mass_restart_known, False),
+}
+
+
+@pytest.mark.parametrize("guards_against_misjudging", DEATHS)
+def test_what_counts_as_a_death(guards_against_misjudging):
+    happens, counts = DEATHS[guards_against_misjudging]
+
+    async def main():
+        service = Service()
+        begun_ms = LoopClock().now_ms()
+        assert await happens(service) is counts
+        assert LoopClock().now_ms() - begun_ms < 7_000
+
+    run(main())
+
+
+@pytest.mark.parametrize("count", [6, 30])
+def test_mass_restart_that_shows_late(count):
+    """Guards against a quarantine from deaths charged before a mass restart shows."""
+
+    async def main():
+        service = Service(count)
+        await service.crash("b0")
+        await service.crash("b1")
+        for number in range(2, count):
+            service.announce(replace(server_of(f"b{number}"), incarnation=2))
+        await sleep_ms(100)
+        assert service.quarantined() == [False, False]
+
+    run(main())
+
+
+def test_two_requests_that_hit_dying_servers():
+    """Guards against a quarantine of requests that met one dying server each."""
+
+    async def main():
+        service = Service()
+        assert await service.crash("b0", "f")
+        assert await service.crash("b1", "g")
+        assert not any(service.quarantined("f") + service.quarantined("g"))
+
+    run(main())
+
+
+@pytest.mark.parametrize("poisonous", [True, False])
+def test_burst(poisonous):
+    """Guards against a burst that kills a server each, or that is held up for good."""
+
+    async def main():
+        service = Service(instances=1)
+        quarantine = service.quarantines[0]
+        ran = []
+
+        async def request(name):
+            async with quarantine.turn(SERVICE, "f") as may_run:
+                if not may_run:
+                    return
+                ran.append(name)
+                await sleep_ms(20)
+                if poisonous or name == "b0":
+                    await service.crash(name)
+
+        first = asyncio.create_task(request("b0"))
+        await sleep_ms(20.5)
+        begun_ms = LoopClock().now_ms()
+        await asyncio.gather(first, *(request(f"b{number}") for number in range(1, 20)))
+        assert len(ran) == (2 if poisonous else 20)
+        assert LoopClock().now_ms() - begun_ms < 100
+
+    run(main())
+
+
+def test_wait_for_a_decision_is_bounded():
+    """Guards against requests that hang while a decision does."""
+
+    async def main():
+        service = Service(instances=1)
+        service.connect = None
+
+        async def hang(address):
+            await sleep_ms(60_000)
+            return Connect.OPEN
+
+        service.quarantines[0]._connect = hang
+        deciding = asyncio.create_task(service.crash("b0"))
+        await sleep_ms(1)
+        begun_ms = LoopClock().now_ms()
+        await service.quarantines[0].decided("f")
+        assert LoopClock().now_ms() - begun_ms <= 1_001
+        deciding.cancel()
+
+    run(main())
+
+
+def test_fresh_connection_on_sockets():
+    """Guards against telling an open port from a refusing one wrongly."""
+
+    async def main():
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            address = f"127.0.0.1:{listener.getsockname()[1]}"
+            assert await _connect(address) is Connect.OPEN
+        assert await _connect(address) is Connect.REFUSED
+
+    asyncio.run(main())
