--- a/packages/cardamomrun-base/src/cardamomrun_base/http_client.py
+++ b/packages/cardamomrun-base/src/cardamomrun_base/http_client.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 import pycurl
-from tornado.curl_httpclient import CurlAsyncHTTPClient
+from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
 from tornado.httpclient import HTTPRequest, HTTPResponse
 
 from cardamomrun_base.clock import MS_PER_S
@@ -55,20 +55,21 @@
         follow_redirects=False,
         prepare_curl_callback=_ignore_proxy_variables,
     )
-    response = await CurlAsyncHTTPClient().fetch(request, raise_error=False)
-    return _answer(url, response)
+    try:
+        response = await CurlAsyncHTTPClient().fetch(request, raise_error=False)
+    except CurlError as error:
+        raise UnavailableError(
+            f"{url} gave no answer: {error}.",
+            remedy="check that the node runs and that the address is right",
+        ) from error
+    return _answer(response)
 
 
 def _ignore_proxy_variables(curl: Any) -> None:
     curl.setopt(pycurl.NOPROXY, "*")
 
 
-def _answer(url: str, response: HTTPResponse) -> CallAnswer:
-    if response.code == 599:
-        raise UnavailableError(
-            f"{url} gave no answer: {response.error}.",
-            remedy="check that the node runs and that the address is right",
-        )
+def _answer(response: HTTPResponse) -> CallAnswer:
     text = response.body.decode("utf-8", "replace") if response.body else ""
     try:
         return CallAnswer(response.code, json.loads(text))
--- a/packages/cardamomrun-operators/src/cardamomrun_operators/commands.py
+++ b/packages/cardamomrun-operators/src/cardamomrun_operators/commands.py
@@ -13,7 +13,7 @@
 from cardamomrun_base.errors import ConflictError, UsageError
 from cardamomrun_base.http_client import call
 from cardamomrun_base.model import Stage
-from cardamomrun_operators.control_client import ControlClient
+from cardamomrun_operators.control_client import ControlClient, NotFoundError
 from cardamomrun_operators.output import render
 from cardamomrun_operators.settings import DEFAULT_PATH, load_operator_settings
 
@@ -55,7 +55,7 @@
         """
         data = read_document(Path(document))
         service = load_document(data, document).service
-        current = self._call("GET", _environment_path(service, stage))
+        current = self._current(_environment_path(service, stage))
         before = base64.b64decode(current.get("document") or "").decode()
         lines = difflib.unified_diff(
             before.splitlines(),
@@ -203,10 +203,16 @@
         self, path: str, expect: int | None, change: int | None
     ) -> dict[str, int]:
         if expect is None:
-            expect = int(self._call("GET", path).get("version", 0))
+            expect = int(self._current(path).get("version", 0))
         number = _new_change_number() if change is None else change
         return {"expected_version": expect, "change_number": number}
 
+    def _current(self, path: str) -> dict[str, Any]:
+        try:
+            return self._call("GET", path)
+        except NotFoundError:
+            return {}
+
     def _call(self, method: str, path: str, body: Any = None) -> Any:
         settings = load_operator_settings(Path(self._settings_path))
         client = ControlClient(settings, SystemClock())
--- a/packages/cardamomrun-operators/src/cardamomrun_operators/control_client.py
+++ b/packages/cardamomrun-operators/src/cardamomrun_operators/control_client.py
@@ -13,7 +13,7 @@
 from cardamomrun_base.http_client import CallAnswer, call
 from cardamomrun_operators.settings import OperatorSettings
 
-__all__ = ["ControlClient", "RefusedError"]
+__all__ = ["ControlClient", "NotFoundError", "RefusedError"]
 
 RETRY_PAUSE_MS = 300
 MISDIRECTED_STATUS = 421
@@ -27,9 +27,16 @@
     exit_code = 6
 
 
+class NotFoundError(RefusedError):
+    """The environment or version named does not exist."""
+
+    kind = "not-found"
+
+
 _ERROR_TYPES: dict[int, type[CardamomrunError]] = {
     401: CredentialError,
     403: CredentialError,
+    404: NotFoundError,
     409: ConflictError,
     422: DocumentError,
 }
