Adopt old suspicions at the start and test the failure rule

Cause: an instance that started named dead members for another suspicion time. Ruled out: counting suspicions by age at any time; after a partition, old suspicions of the other side arrive before the refutations. Tests take ports below the ephemeral range, where a trial met a collision. Conclusion: newcomers start with the verdicts of the fleet.

--- a/packages/cardamomrun-fleet/src/cardamomrun_fleet/fleet.py
+++ b/packages/cardamomrun-fleet/src/cardamomrun_fleet/fleet.py
@@ -152,6 +152,7 @@
         await self._wait_for_snapshots()
         self._started = True
         self._caught_up = bool(self._pulled)
+        self.membership.adopt_verdicts()
         self.membership.publish()
         self._spawn(self._exchange_regularly())
 
--- a/packages/cardamomrun-fleet/src/cardamomrun_fleet/membership.py
+++ b/packages/cardamomrun-fleet/src/cardamomrun_fleet/membership.py
@@ -130,6 +130,21 @@
         self._apply_failure_rule()
         self._drop_long_failed()
 
+    def adopt_verdicts(self) -> None:
+        """Apply the failure rule to suspicions that were old when a snapshot came.
+
+        An instance that starts would otherwise name dead members for a suspicion
+        time. Later arrivals never count by their age: after a partition the other
+        side's old suspicions arrive before the refutations.
+        """
+        observers = self._observers()
+        for (instance_id, incarnation), suspecters in observers.items():
+            arrivals = self._suspicion_arrivals(instance_id, suspecters)
+            needed = self._required_count(instance_id, observers)
+            if len(arrivals) >= needed:
+                self._suspected[instance_id] = _Mark(incarnation, arrivals[needed - 1])
+        self._apply_failure_rule()
+
     def _body(self) -> MemberBody:
         settings = self._settings
         return MemberBody(
@@ -250,7 +265,11 @@
         self._suspected = suspected
         for instance_id, mark in suspected.items():
             if now_ms - mark.since_ms >= self._settings.fleet.suspicion_ms:
-                self._take_as_failed(instance_id, mark.incarnation)
+                suspecters = observers[(instance_id, mark.incarnation)]
+                arrivals = self._suspicion_arrivals(instance_id, suspecters)
+                # All instances count from the oldest suspicion, so that they drop the
+                # record together; one that kept it would offer it at each exchange.
+                self._take_as_failed(instance_id, mark.incarnation, min(arrivals))
 
     def _required_count(
         self,
@@ -278,30 +297,20 @@
         }
         return max(1, min(REQUIRED_OBSERVER_COUNT, len(able)))
 
-    def _take_as_failed(self, instance_id: InstanceId, incarnation: int) -> None:
+    def _take_as_failed(
+        self, instance_id: InstanceId, incarnation: int, since_ms: float
+    ) -> None:
         log.warning("member failed", peer_id=instance_id, incarnation=incarnation)
-        self._failed[instance_id] = _Mark(
-            incarnation, self._first_suspected_ms(instance_id, incarnation)
-        )
+        self._failed[instance_id] = _Mark(incarnation, since_ms)
         self.change_count += 1
 
-    def _first_suspected_ms(self, instance_id: InstanceId, incarnation: int) -> float:
-        """Return when the oldest suspicion was written.
-
-        Counting from there, all instances drop the record at about the same time. An
-        instance that kept it longer would offer it to the others at each exchange.
-        """
-        arrivals = [self._clock.now_ms()]
-        for record in self._store.all(Kind.SUSPICION):
-            body: SuspicionBody = record.content
-            arrived_ms = self._store.arrived_ms(record.kind, record.key)
-            if (
-                body.active
-                and (body.instance_id, body.incarnation) == (instance_id, incarnation)
-                and arrived_ms is not None
-            ):
-                arrivals.append(arrived_ms)
-        return min(arrivals)
+    def _suspicion_arrivals(
+        self, instance_id: InstanceId, observer_ids: set[InstanceId]
+    ) -> list[float]:
+        """Return when the observers' suspicions were written, the oldest first."""
+        keys = [f"{instance_id}/{observer_id}" for observer_id in observer_ids]
+        arrivals = [self._store.arrived_ms(Kind.SUSPICION, key) for key in keys]
+        return sorted(arrived for arrived in arrivals if arrived is not None)
 
     def _drop_long_failed(self) -> None:
         now_ms = self._clock.now_ms()
--- a/packages/cardamomrun-fleet/tests/builders.py
+++ b/packages/cardamomrun-fleet/tests/builders.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import itertools
+import os
 import socket
 import time
 
@@ -16,10 +18,17 @@
     return Record.of(Kind.CRASH, key, "e1", version, body, lifetime_ms)
 
 
+# Below the range from which the system takes ports for outgoing connections, which
+# could otherwise occupy the port of a fleet that is about to start.
+_ports = itertools.count(20_000 + os.getpid() % 1_000 * 10)
+
+
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    for port in _ports:
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            return port
+    raise AssertionError
 
 
 def node_settings(tmp_path, name, *, seeds=(), domain="kelowna-a", key=b"k" * 32):
--- a/packages/cardamomrun-fleet/tests/test_fleet.py
+++ b/packages/cardamomrun-fleet/tests/test_fleet.py
@@ -107,7 +107,7 @@
 
 
 def test_a_stopped_peer_is_taken_as_failed_and_returns(tmp_path):
-    """Guards against dead instances in the directory and against lasting verdicts."""
+    """Guards against naming dead instances, also by a newcomer, and lasting verdicts."""
 
     async def check():
         async with running(tmp_path, 3) as fleets:
@@ -116,11 +116,16 @@
             for fleet in (one, two):
                 gone = {"n0", "n1"}
                 await until(lambda f=fleet, g=gone: member_ids(f) == g, "n2 failed")
+            seeds = [fleet._settings.peer_address for fleet in (one, two)]
+            newcomer = Fleet(node_settings(tmp_path, "new", seeds=seeds), SystemClock())
+            await newcomer.start()
+            fleets.append(newcomer)
+            assert member_ids(newcomer) == {"n0", "n1", "new"}
             again = Fleet(three._settings, SystemClock())
             fleets[2] = again
             await again.start()
             assert again.incarnation > three.incarnation
-            for fleet in (one, two):
+            for fleet in (one, two, newcomer):
                 await until(lambda f=fleet: "n2" in member_ids(f), "n2 is back")
 
     asyncio.run(check())
