Add the judgement of backend servers, the decider and reports

Cause: no instance sees a backend server often enough to judge it alone, and ejections by each instance together break the floor. Ruled out: a support threshold that one failure reaches (false ejections in the healthy, one-way and common-rise tests in a run of pytest); mixing failures and slowness between failure domains; the median of short windows alone as typical rate, which is 0 at low traffic; new evidence in a repeated report, which counts twice when answers are lost. Change: profiles, CUSUM per server and failure domain, ServiceJudgement with freeze, floor, ejection times and probation, Decider, Reporter.

--- a/packages/cardamomrun-backends/src/cardamomrun_backends/backends.py
+++ b/packages/cardamomrun-backends/src/cardamomrun_backends/backends.py
@@ -50,6 +50,12 @@
     floor_servers: int
 
 
+@dataclass(frozen=True)
+class _Granted:
+    ejected: tuple[ServerId, ...] = ()
+    probation: tuple[ServerId, ...] = ()
+
+
 @dataclass(frozen=True)
 class _Subset:
     read_ms: float
@@ -83,7 +89,7 @@
         self._grants = Grants(clock, fleet.store)
         self._states: dict[tuple[EnvironmentId, ServerId], ServerState] = {}
         self._subsets: dict[EnvironmentId, _Subset] = {}
-        self._ejected_before: dict[EnvironmentId, tuple[ServerId, ...]] = {}
+        self._granted_before: dict[EnvironmentId, _Granted] = {}
 
     def choose(
         self, environment: EnvironmentId, *, exclude: frozenset[ServerId] = frozenset()
@@ -189,11 +195,14 @@
         ejected: tuple[ServerId, ...],
         servers: ServiceServers,
     ) -> None:
-        before = self._ejected_before.get(environment, ())
-        if before == ejected:
+        """Begin slow start for servers that returned from an ejection."""
+        before = self._granted_before.get(environment, _Granted())
+        now = _Granted(ejected, self._grants.probation(environment))
+        if before == now:
             return
-        self._ejected_before[environment] = ejected
-        for server_id in set(before) - set(ejected):
+        self._granted_before[environment] = now
+        returned = set(before.ejected) - set(now.ejected)
+        for server_id in returned | (set(now.probation) - set(before.probation)):
             if server_id in servers.serving:
                 state = self._state(servers.serving[server_id])
                 state.restart_ramp(self._clock.now_ms())
--- /dev/null
+++ b/packages/cardamomrun-backends/src/cardamomrun_backends/profiles.py
@@ -0,0 +1,76 @@
+"""Constants of the judgement, one set for each profile that a document can select."""
+
+from dataclasses import dataclass
+
+from cardamomrun_base.documents import Profile
+
+__all__ = [
+    "FASTEST_DETECTION",
+    "FEWEST_FALSE_EJECTIONS",
+    "JudgementProfile",
+    "OutcomeRates",
+    "profile_settings",
+]
+
+
+@dataclass(frozen=True)
+class OutcomeRates:
+    """Rates of one kind of bad outcome that the likelihood ratio compares.
+
+    `typical_floor_ratio` bounds the service's own rate from below, so that a single
+    failure in a faultless service is weak evidence. A sick server has at least
+    `sick_ratio`, and at least `sick_odds_factor` times the odds of the typical rate.
+    """
+
+    typical_floor_ratio: float
+    sick_ratio: float
+    sick_odds_factor: float
+
+
+@dataclass(frozen=True)
+class JudgementProfile:
+    """How much evidence an ejection needs.
+
+    `threshold` is a sum of log likelihood ratios over the failure domains;
+    `domain_threshold` is what each of the supporting failure domains must reach. An
+    unreachable server counts as `unreachable_weight` failures. `probation_ratio` lowers
+    the threshold for a server that returned from an ejection.
+    """
+
+    threshold: float
+    domain_threshold: float
+    failures: OutcomeRates
+    slowness: OutcomeRates
+    unreachable_weight: float
+    probation_ratio: float
+
+
+# One failure adds log(0.10 / 0.005) = 3.0 and one slow answer log(0.20 / 0.02) = 2.3.
+# A failure domain supports an ejection from three bad answers close together, so that
+# two chance failures do not confirm a broken path of another failure domain.
+FEWEST_FALSE_EJECTIONS = JudgementProfile(
+    threshold=12.0,
+    domain_threshold=6.0,
+    failures=OutcomeRates(0.005, 0.10, 6.0),
+    slowness=OutcomeRates(0.02, 0.20, 6.0),
+    unreachable_weight=1.5,
+    probation_ratio=0.75,
+)
+
+# A false ejection costs Sindh less than slow answers, which make growers reorder; two
+# failures close together in each of two failure domains suffice.
+FASTEST_DETECTION = JudgementProfile(
+    threshold=10.0,
+    domain_threshold=5.0,
+    failures=OutcomeRates(0.005, 0.10, 6.0),
+    slowness=OutcomeRates(0.02, 0.20, 6.0),
+    unreachable_weight=2.0,
+    probation_ratio=0.5,
+)
+
+
+def profile_settings(profile: Profile) -> JudgementProfile:
+    """Return the constants of the profile that a document names."""
+    if profile is Profile.FASTEST_DETECTION:
+        return FASTEST_DETECTION
+    return FEWEST_FALSE_EJECTIONS
--- /dev/null
+++ b/packages/cardamomrun-backends/src/cardamomrun_backends/reporter.py
@@ -0,0 +1,125 @@
+"""Sends the evidence of this instance to the decider."""
+
+from cardamomrun_backends.backends import LiveBackends
+from cardamomrun_base.clock import Clock
+from cardamomrun_base.errors import UnavailableError
+from cardamomrun_base.interfaces import Environments, Fleet
+from cardamomrun_base.logs import PartLog
+from cardamomrun_base.messages import Report, ReportAnswer
+from cardamomrun_base.model import EnvironmentId, InstanceId, Kind, LeaderBody
+from cardamomrun_base.settings import NodeSettings
+
+__all__ = ["Reporter"]
+
+LEADER_KEY = "control"
+REQUEST_TIMEOUT_MS = 1_000
+# Evidence older than this describes servers as they were, and is dropped.
+MAX_EVIDENCE_AGE_MS = 10_000
+
+_log = PartLog("judge")
+
+
+class Reporter:
+    """Reports each `report_ms` to the instance in the leader record.
+
+    A report without an answer is sent again with the same sequence, so that the decider
+    can count it once; newer evidence waits in `evidence` meanwhile.
+    """
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        clock: Clock,
+        fleet: Fleet,
+        backends: LiveBackends,
+        environments: Environments,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._fleet = fleet
+        self._evidence = backends.evidence
+        self._environments = environments
+        # Begins at the wall time, so that a restarted process repeats no sequence.
+        self._sequence = clock.wall_ms()
+        self._unanswered: Report | None = None
+        self._answered_ms = clock.now_ms()
+        self._leader: tuple[InstanceId, int] | None = None
+        self._answered_versions: dict[EnvironmentId, int] = {}
+        self._is_failing = False
+
+    async def run(self) -> None:
+        """Report until cancelled."""
+        while True:
+            await self.report()
+            await self._clock.sleep_ms(self._settings.report_ms)
+
+    async def report(self) -> None:
+        """Send one report if a leader is known; keep it if that fails."""
+        self._drop_old()
+        record = self._fleet.store.get(Kind.LEADER, LEADER_KEY)
+        if record is None:
+            return
+        self._follow(record.content)
+        report = self._unanswered or self._next()
+        self._unanswered = report
+        accepted = await self._send(record.content.instance_id, report)
+        if accepted:
+            self._unanswered = None
+            self._answered_ms = self._clock.now_ms()
+            self._answered_versions.update(report.versions_in_force)
+        if accepted is self._is_failing:
+            self._is_failing = not accepted
+            state = "answers" if accepted else "does not answer"
+            _log.info(f"decider {record.content.instance_id} {state} reports")
+
+    async def _send(self, leader_id: InstanceId, report: Report) -> bool:
+        try:
+            answer = await self._fleet.request(
+                leader_id, report, timeout_ms=REQUEST_TIMEOUT_MS
+            )
+        except UnavailableError:
+            return False
+        return isinstance(answer, ReportAnswer) and answer.accepted
+
+    def _follow(self, leader: LeaderBody) -> None:
+        """Tell a new leader all versions, in a report that it has not seen."""
+        identity = (leader.instance_id, leader.term)
+        if identity == self._leader:
+            return
+        self._leader = identity
+        self._answered_versions = {}
+        if self._unanswered is not None:
+            self._evidence.put_back(self._unanswered.evidence)
+            self._unanswered = None
+
+    def _next(self) -> Report:
+        self._sequence += 1
+        return Report(
+            instance_id=self._settings.instance_id,
+            failure_domain=self._settings.failure_domain,
+            sequence=self._sequence,
+            evidence=self._evidence.take(),
+            versions_in_force=self._changed_versions(),
+            may_be_behind=self._fleet.may_be_behind(),
+        )
+
+    def _changed_versions(self) -> tuple[tuple[EnvironmentId, int], ...]:
+        versions = (
+            (environment.body.environment, environment.body.version)
+            for environment in self._environments.all()
+        )
+        return tuple(
+            (name, version)
+            for name, version in versions
+            if self._answered_versions.get(name) != version
+        )
+
+    def _drop_old(self) -> None:
+        """Drop what has waited too long for a decider, and begin anew with versions."""
+        waited_ms = self._clock.now_ms() - self._answered_ms
+        if waited_ms < MAX_EVIDENCE_AGE_MS:
+            return
+        self._answered_ms = self._clock.now_ms()
+        self._answered_versions = {}
+        self._unanswered = None
+        self._evidence.take()
--- a/packages/cardamomrun-backends/tests/builders.py
+++ b/packages/cardamomrun-backends/tests/builders.py
@@ -4,6 +4,8 @@
 from pathlib import Path
 
 from cardamomrun_backends.backends import LiveBackends
+from cardamomrun_backends.judgement import Decision, ServiceJudgement
+from cardamomrun_backends.servers import ServiceServers
 from cardamomrun_base.clock import ManualClock
 from cardamomrun_base.documents import (
     EnvironmentDocument,
@@ -13,6 +15,7 @@
     Route,
 )
 from cardamomrun_base.interfaces import Environment
+from cardamomrun_base.messages import BackendEvidence
 from cardamomrun_base.model import (
     BackendBody,
     BackendPhase,
@@ -218,3 +221,83 @@
 
     def chosen(self, count=200):
         return {choice.server_id for _ in range(count) if (choice := self.choose())}
+
+
+class FakeLeadership:
+    """A leader lease that a test takes and gives back."""
+
+    def __init__(self, clock, term=1):
+        self.clock = clock
+        self.take(term)
+
+    def take(self, term):
+        self.term = term
+        self.held = True
+        self.since_ms = self.clock.now_ms()
+
+    def holds_lease(self):
+        return self.held
+
+    def lease_held_since_ms(self):
+        return self.since_ms
+
+
+def evidence(server_id, good=0, failed=0, slow=0, unreachable=0):
+    return BackendEvidence(ENVIRONMENT, server_id, good, failed, slow, unreachable)
+
+
+class Traffic:
+    """Feeds a judgement with seeded random outcomes, a step of 500 ms at a time.
+
+    `rates` maps a server, or a server and failure domain, to the probabilities of
+    failed, slow and unreachable attempts; all others have those of `base`.
+    """
+
+    def __init__(
+        self, profile, count=20, seed=1, base=(0.002, 0.01, 0.0), ratio=0.7, per_step=6
+    ):
+        self.clock = ManualClock(1_000_000)
+        self.judgement = ServiceJudgement(profile, self.clock)
+        self.bodies = {body.server_id: body for body in servers(count)}
+        self.floor = Floor(healthy_ratio=ratio)
+        self.random = random.Random(seed)
+        self.base = base
+        self.rates = {}
+        self.per_step = per_step
+        self.domains = DOMAINS
+        self.ejected = {}
+        self.decision = Decision()
+
+    def step(self):
+        for server_id in self.bodies:
+            if server_id in self.decision.ejected:
+                continue
+            for domain in self.domains:
+                self._report(server_id, domain)
+        self.clock.advance_ms(500)
+        groups = {"serving": {}, "starting": {}, "draining": {}, "lost": {}}
+        for server_id, body in self.bodies.items():
+            phase = "lost" if body.phase is BackendPhase.GONE else body.phase.value
+            groups[phase][server_id] = body
+        self.decision = self.judgement.decide(ServiceServers(**groups), self.floor)
+        for server_id in self.decision.ejected:
+            self.ejected.setdefault(server_id, self.clock.now_ms())
+        return self.decision
+
+    def run_s(self, duration_s):
+        for _ in range(int(duration_s * 2)):
+            self.step()
+        return set(self.ejected)
+
+    def _report(self, server_id, domain):
+        rates = self.rates.get((server_id, domain)) or self.rates.get(server_id)
+        failed, slow, unreachable = rates or self.base
+        counts = [0, 0, 0, 0]
+        for _ in range(self.per_step):
+            if self.random.random() < 1 / len(self.domains):
+                draw = self.random.random()
+                bounds = (failed, failed + slow, failed + slow + unreachable)
+                counts[next((i for i in range(3) if draw < bounds[i]), 3)] += 1
+        self.judgement.add(
+            domain, evidence(server_id, counts[3], counts[0], counts[1], counts[2])
+        )
--- /dev/null
+++ b/packages/cardamomrun-backends/tests/test_decider.py
@@ -0,0 +1,296 @@
+"""Grants of deciders, and how entry instances honour them."""
+
+import asyncio
+
+import pytest
+from hypothesis import given
+from hypothesis import settings as test_settings
+from hypothesis import strategies as st
+
+from cardamomrun_backends.decider import Decider
+from cardamomrun_backends.reporter import Reporter
+from cardamomrun_base.clock import ManualClock
+from cardamomrun_base.errors import PeerTimeoutError
+from cardamomrun_base.interfaces import AttemptResult
+from cardamomrun_base.messages import Report, ReportAnswer
+from cardamomrun_base.model import BackendPhase, Kind, LeaderBody, Record
+
+from .builders import (
+    DOMAINS,
+    ENVIRONMENT,
+    FakeEnvironments,
+    FakeFleet,
+    FakeLeadership,
+    Instance,
+    environment,
+    evidence,
+    grant,
+    publish,
+    server,
+    servers,
+    settings,
+)
+
+REMOVALS = ["ejected", "draining", "starting", "lost"]
+
+
+@pytest.mark.parametrize("present", range(16))
+def test_all_removals_share_one_floor(present):
+    # Guards P1: ejected, draining, starting and lost servers count together.
+    kinds = [kind for bit, kind in enumerate(REMOVALS) if present >> bit & 1]
+    instance = Instance(servers(20), env=environment(ratio=0.8))
+    for place, kind in enumerate(REMOVALS):
+        if kind in kinds and kind != "ejected":
+            phase = BackendPhase.GONE if kind == "lost" else BackendPhase(kind)
+            publish(instance.store, server(f"b{place}", phase), counter=1)
+    others = len([kind for kind in kinds if kind != "ejected"])
+    if "ejected" in kinds:
+        grant(instance.store, 1, 0, ["b19", "b18", "b17", "b16", "b15", "b14"])
+    allowed = 4 - others if "ejected" in kinds else 0
+    assert instance.view().ejected == ("b19", "b18", "b17", "b16")[:allowed]
+    assert instance.view().floor_count == 16
+    assert len(instance.view().healthy) == 20 - others - allowed
+    for name in ("b10", "b11", "b12", "b13", "b14"):
+        for _ in range(3):
+            instance.attempt(server(name), AttemptResult.FAILED)
+    assert len(instance.view().healthy) == 16
+
+
+def test_only_the_highest_decider_epoch_is_honoured():
+    # Guards P1 with two deciders that both believe to lead.
+    instance = Instance(servers(10))
+    grant(instance.store, 3, 0, ["b1"])
+    grant(instance.store, 2, 9, ["b2", "b3"])
+    assert instance.view().ejected == ("b1",)
+    instance.clock.advance_ms(5_000)
+    del instance.store.records[Kind.EJECTIONS, ENVIRONMENT]
+    assert instance.view().ejected == ()
+    grant(instance.store, 2, 10, ["b2", "b3"])
+    grant(instance.store, 3, 0, ["b1"])
+    assert instance.view().ejected == ()
+    grant(instance.store, 3, 1, ["b1"])
+    assert instance.view().ejected == ("b1",)
+
+
+def test_returned_server_starts_slowly():
+    # Guards against full load on a server that was just sick.
+    instance = Instance(servers(10))
+    instance.clock.advance_ms(20_000)
+    grant(instance.store, 1, 0, ["b1"])
+    assert "b1" not in instance.chosen()
+    grant(instance.store, 1, 1, [])
+    counts = [instance.choose().server_id for _ in range(1_000)].count("b1")
+    assert 0 < counts < 50
+
+
+@test_settings(max_examples=60, deadline=None, derandomize=True)
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(["grant", "phase", "fail", "unreachable", "wait"]),
+            st.integers(0, 9),
+            st.integers(0, 9),
+        ),
+        max_size=40,
+    ),
+    st.sampled_from([0.0, 0.5, 0.7, 1.0]),
+)
+def test_healthy_never_below_the_floor(events, ratio):
+    # Guards P1 over random orders of grants, phases, failures and expiries: an
+    # instance itself never removes a server at or below the floor.
+    instance = Instance(servers(10), env=environment(ratio=ratio, count=2))
+    phases = list(BackendPhase)
+    for number, (event, one, two) in enumerate(events):
+        if event == "grant":
+            names = [f"b{i}" for i in range(10)]
+            grant(instance.store, one, number, names[two:] + names[:one])
+        elif event == "phase":
+            body = server(f"b{one}", phases[two % 4])
+            publish(instance.store, body, counter=number + 1)
+        elif event == "wait":
+            instance.clock.advance_ms(one * 1_000)
+        else:
+            result = AttemptResult("failed" if event == "fail" else event)
+            for _ in range(3):
+                instance.attempt(server(f"b{one}"), result)
+        view = instance.view()
+        removed = len(view.ejected) + len(view.avoided)
+        assert not removed or len(view.healthy) >= view.floor_count
+        assert not {*view.ejected, *view.avoided} & {*view.draining, *view.starting}
+        choice = instance.choose()
+        assert choice is None or choice.phase is not BackendPhase.DRAINING
+
+
+class Control:
+    """A decider with its own store and clock."""
+
+    def __init__(self, count=10, clock=None, term=1):
+        self.clock = clock or ManualClock(1_000_000)
+        self.fleet = FakeFleet("control-1")
+        self.store = self.fleet.store
+        for body in servers(count):
+            publish(self.store, body)
+        self.fleet.listed = [*FakeFleet("entry-1").listed, *self.fleet.listed]
+        self.leadership = FakeLeadership(self.clock, term)
+        self.decider = Decider(
+            settings("control-1"),
+            self.clock,
+            self.fleet,
+            FakeEnvironments(),
+            self.leadership,
+        )
+        self.sequence = 0
+
+    def report(self, failed_id="b3", sequence=None):
+        """Report one interval from each failure domain; return the last answer."""
+        self.sequence += 1
+        for domain in DOMAINS:
+            items = [
+                evidence(f"b{i}", good=2) for i in range(10) if f"b{i}" != failed_id
+            ]
+            if failed_id:
+                items.append(evidence(failed_id, failed=2))
+            number = self.sequence if sequence is None else sequence
+            versions = ((ENVIRONMENT, 7),) if self.sequence == 1 else ()
+            message = Report(domain, domain, number, tuple(items), versions, False)
+            handler = self.fleet.handlers[Report]
+            answer = asyncio.run(handler(f"entry-{domain}", message))
+        return answer
+
+    def run_ms(self, duration_ms):
+        for _ in range(duration_ms // 250):
+            self.clock.advance_ms(250)
+            self.decider.tick()
+
+    def grants(self):
+        return [r for r in self.store.published if r.kind is Kind.EJECTIONS]
+
+
+def test_decider_waits_one_lease_then_grants_and_renews():
+    # Guards P1: grants of an earlier decider must have ended before new ones.
+    control = Control()
+    for _ in range(4):
+        assert control.report() == ReportAnswer(True, 1)
+    control.run_ms(4_750)
+    assert control.grants() == []
+    control.run_ms(250)
+    first = control.grants()[0]
+    assert first.content.server_ids == ("b3",)
+    assert (first.version, first.lifetime_ms) == ((1, 0), 5_000)
+    control.run_ms(3_000)
+    assert len(control.grants()) == 4
+
+
+def test_decider_without_lease_refuses_and_publishes_nothing():
+    # Guards P1 against a control instance that is partitioned and knows it.
+    control = Control()
+    control.run_ms(6_000)
+    control.report()
+    count = len(control.grants())
+    control.leadership.held = False
+    control.run_ms(2_000)
+    assert control.report() == ReportAnswer(False, 1)
+    assert len(control.grants()) == count
+
+
+def test_lease_is_checked_again_before_publishing():
+    # Guards P1 against a lease that ends while the decision is made.
+    control = Control()
+    control.run_ms(6_000)
+    count = len(control.grants())
+    answers = iter([True, True, True, False])
+    control.leadership.holds_lease = lambda: next(answers, False)
+    for _ in range(3):
+        control.report()
+    control.run_ms(250)
+    assert len(control.grants()) == count
+
+
+def test_restarted_decider_forgets_and_waits_again():
+    # Guards against evidence and grants that outlive a term.
+    control = Control()
+    control.run_ms(6_000)
+    control.report()
+    control.leadership.held = False
+    control.run_ms(250)
+    control.leadership.take(2)
+    control.run_ms(4_750)
+    assert [r for r in control.grants() if r.epoch == 2] == []
+    control.run_ms(500)
+    (record,) = [r for r in control.grants() if r.epoch == 2]
+    assert record.content.server_ids == ()
+
+
+def test_repeated_report_counts_once():
+    # Guards against one lost answer after another multiplying the evidence.
+    control = Control()
+    control.run_ms(6_000)
+    for _ in range(20):
+        control.report(sequence=5)
+    control.run_ms(500)
+    assert all(record.content.server_ids == () for record in control.grants())
+    status = control.decider.in_force()["entry-vernon-a"]
+    assert (status.versions, status.failure_domain) == ({ENVIRONMENT: 7}, "vernon-a")
+
+
+class Entry(Instance):
+    """An entry instance with its reporter."""
+
+    def __init__(self):
+        super().__init__(servers(3))
+        self.reporter = Reporter(
+            settings(), self.clock, self.fleet, self.backends, FakeEnvironments()
+        )
+        self.lead("control-1", 1)
+
+    def lead(self, instance_id, term):
+        body = LeaderBody(instance_id, term, "", "")
+        record = Record.of(Kind.LEADER, "control", instance_id, (term, 0), body)
+        self.store.put(record)
+
+    def report(self, answer):
+        self.fleet.answers.append(answer)
+        asyncio.run(self.reporter.report())
+        return self.fleet.sent[-1]
+
+
+LOST = PeerTimeoutError("no answer", remedy="wait")
+TAKEN = ReportAnswer(True, 1)
+
+
+def test_unanswered_report_is_repeated_unchanged():
+    # Guards against evidence that is lost, or counted twice, when answers are lost.
+    entry = Entry()
+    entry.attempt(server("b1"), AttemptResult.FAILED)
+    first = entry.report(LOST)
+    entry.attempt(server("b1"), AttemptResult.GOOD)
+    assert entry.report(ReportAnswer(False, 1)) == first
+    assert entry.report(TAKEN) == first
+    assert first[1].versions_in_force == ((ENVIRONMENT, 1),)
+    second = entry.report(TAKEN)[1]
+    assert second.evidence == (evidence("b1", good=1),)
+    assert (second.sequence, second.versions_in_force) == (first[1].sequence + 1, ())
+
+
+def test_new_leader_gets_all_versions_and_kept_evidence():
+    # Guards against a new leader that does not know what is in force.
+    entry = Entry()
+    entry.report(TAKEN)
+    entry.attempt(server("b1"), AttemptResult.UNREACHABLE)
+    entry.report(LOST)
+    entry.lead("control-2", 2)
+    leader_id, report = entry.report(TAKEN)
+    assert leader_id == "control-2"
+    assert report.evidence == (evidence("b1", unreachable=1),)
+    assert report.versions_in_force == ((ENVIRONMENT, 1),)
+
+
+def test_old_evidence_is_dropped():
+    # Guards against ejections for failures from hours without a decider.
+    entry = Entry()
+    entry.attempt(server("b1"), AttemptResult.FAILED)
+    entry.report(LOST)
+    entry.clock.advance_ms(10_000)
+    report = entry.report(TAKEN)[1]
+    assert report.evidence == ()
+    assert report.versions_in_force == ((ENVIRONMENT, 1),)
--- /dev/null
+++ b/packages/cardamomrun-backends/tests/test_judgement.py
@@ -0,0 +1,140 @@
+"""Which servers the decider ejects."""
+
+from dataclasses import replace
+
+import pytest
+
+from cardamomrun_backends.profiles import FASTEST_DETECTION, FEWEST_FALSE_EJECTIONS
+from cardamomrun_base.model import BackendPhase
+
+from .builders import DOMAINS, Traffic
+
+PROFILES = [FEWEST_FALSE_EJECTIONS, FASTEST_DETECTION]
+profiles = pytest.mark.parametrize("profile", PROFILES, ids=["fewest", "fastest"])
+
+# name, rates of the sick server, bound of the detection time in s for each profile
+SICK = {
+    "fails all": ((1.0, 0.0, 0.0), (1.5, 1.0)),
+    "fails three in ten": ((0.3, 0.0, 0.0), (4.0, 3.5)),
+    "only slow": ((0.0, 0.6, 0.0), (3.0, 3.0)),
+    "slow tail": ((0.0, 0.25, 0.0), (15.0, 8.0)),
+    "unreachable": ((0.0, 0.0, 1.0), (1.0, 1.0)),
+    "answers probes, fails half": ((0.5, 0.0, 0.0), (3.0, 2.5)),
+}
+
+
+@profiles
+@pytest.mark.parametrize("case", SICK)
+def test_sick_server_is_ejected_in_time(profile, case):
+    # Guards against slow detection, and against another server being ejected.
+    rates, bounds_s = SICK[case]
+    for seed in range(5):
+        traffic = Traffic(profile, seed=seed)
+        traffic.run_s(5)
+        start_ms = traffic.clock.now_ms()
+        traffic.rates["b3"] = rates
+        assert traffic.run_s(20) == {"b3"}
+        took_s = (traffic.ejected["b3"] - start_ms) / 1_000
+        assert took_s <= bounds_s[PROFILES.index(profile)], (seed, took_s)
+
+
+@profiles
+def test_healthy_service_has_no_ejections(profile):
+    # Guards against false ejections in an ordinary hour quarter.
+    assert Traffic(profile, count=12).run_s(900) == set()
+
+
+@profiles
+@pytest.mark.parametrize("rates", [(0.5, 0.0, 0.0), (0.0, 0.0, 1.0), (0.0, 0.9, 0.0)])
+def test_one_way_path_of_one_domain_ejects_nothing(profile, rates):
+    # Guards against ejecting servers that only one failure domain cannot reach.
+    traffic = Traffic(profile)
+    for server_id in ("b1", "b2", "b3"):
+        traffic.rates[server_id, DOMAINS[0]] = rates
+    assert traffic.run_s(60) == set()
+
+
+def test_server_seen_by_one_domain_only_is_ejected():
+    # Guards against a sick server that stays since no second domain uses it.
+    traffic = Traffic(FEWEST_FALSE_EJECTIONS)
+    traffic.domains = DOMAINS[:1]
+    traffic.rates["b3"] = (1.0, 0.0, 0.0)
+    assert traffic.run_s(5) == {"b3"}
+
+
+@profiles
+@pytest.mark.parametrize(
+    "rates", [(0.1, 0.0, 0.0), (0.4, 0.0, 0.0), (1.0, 0.0, 0.0), (0.0, 0.5, 0.0)]
+)
+@pytest.mark.parametrize("per_step", [1, 6], ids=["little traffic", "much traffic"])
+def test_rise_in_the_whole_service_ejects_nothing(profile, rates, per_step):
+    # Guards against ejecting servers for a common cause, also while it ends.
+    traffic = Traffic(profile, per_step=per_step)
+    traffic.run_s(5)
+    traffic.base = rates
+    traffic.run_s(20)
+    traffic.base = (0.002, 0.01, 0.0)
+    assert traffic.run_s(20) == set()
+
+
+def test_more_than_half_sick_freezes_ejections():
+    # Guards against a faulty observer that removes most of a service.
+    traffic = Traffic(FASTEST_DETECTION, ratio=0.0)
+    for i in range(8):
+        traffic.rates[f"b{i}"] = (1.0, 0.0, 0.0)
+    assert len(traffic.run_s(5)) == 8
+    for i in range(8, 20):
+        traffic.rates[f"b{i}"] = (1.0, 0.0, 0.0)
+    assert len(traffic.run_s(4)) == 8
+    assert traffic.decision.frozen
+
+
+def test_flapping_server_stays_away_longer_each_time():
+    # Guards against a flapping server that returns every few seconds.
+    traffic = Traffic(FEWEST_FALSE_EJECTIONS)
+    traffic.rates["b3"] = (0.9, 0.0, 0.0)
+    out_s, returned = [], 0
+    for _ in range(2 * 1_100):
+        out = "b3" in traffic.decision.ejected
+        traffic.step()
+        if not out and "b3" in traffic.decision.ejected:
+            out_s.append(0.0)
+        returned += out and traffic.decision.probation == ("b3",)
+        if "b3" in traffic.decision.ejected:
+            out_s[-1] += 0.5
+    assert out_s[:7] == [10, 20, 40, 80, 160, 300, 300]
+    assert returned >= 6 and set(traffic.ejected) == {"b3"}
+
+
+def test_floor_takes_the_sickest_first():
+    # Guards P1: nine sick servers and a floor that allows three.
+    traffic = Traffic(FEWEST_FALSE_EJECTIONS, count=20, ratio=0.85)
+    for i in range(9):
+        traffic.rates[f"b{i}"] = (1.0 if i in (2, 5, 7) else 0.25, 0.0, 0.0)
+    for _ in range(30):
+        assert len(traffic.step().ejected) <= 3
+    assert set(traffic.decision.ejected) == {"b2", "b5", "b7"}
+
+
+@pytest.mark.parametrize("phase", ["draining", "starting", "gone"])
+def test_lost_capacity_ends_ejections(phase):
+    # Guards P1: servers that leave later count with those ejected before.
+    traffic = Traffic(FEWEST_FALSE_EJECTIONS, count=20, ratio=0.8)
+    for i in range(4):
+        traffic.rates[f"b{i}"] = (1.0, 0.0, 0.0)
+    traffic.run_s(3)
+    assert len(traffic.decision.ejected) == 4
+    for i in range(10, 13):
+        body = traffic.bodies[f"b{i}"]
+        traffic.bodies[f"b{i}"] = replace(body, phase=BackendPhase(phase))
+    assert len(traffic.step().ejected) == 1
+
+
+def test_new_run_of_a_server_starts_without_evidence():
+    # Guards against keeping a server ejected after a restart repaired it.
+    traffic = Traffic(FEWEST_FALSE_EJECTIONS)
+    traffic.rates["b3"] = (1.0, 0.0, 0.0)
+    traffic.run_s(3)
+    assert traffic.decision.ejected == ("b3",)
+    traffic.bodies["b3"] = replace(traffic.bodies["b3"], incarnation=2)
+    assert traffic.step().ejected == ()
