--- a/packages/cardamomrun-control/tests/builders.py
+++ b/packages/cardamomrun-control/tests/builders.py
@@ -70,9 +70,12 @@
     def __init__(self):
         super().__init__()
         self.synced_bytes = {}
+        self.held = False
 
     async def run(self, function):
         await asyncio.sleep(0.002)
+        while self.held:
+            await asyncio.sleep(0.01)
         return function()
 
     def write(self, descriptor, data):
--- a/packages/cardamomrun-control/tests/test_agreement.py
+++ b/packages/cardamomrun-control/tests/test_agreement.py
@@ -158,12 +158,15 @@
     run(main())
 
 
-def test_voters_change_one_at_a_time(tmp_path):
+def test_voters_change_one_at_a_time(tmp_path, monkeypatch):
     """Guards against a newcomer that counts before it holds the log."""
+    monkeypatch.setattr("cardamomrun_control.agreement.BATCH_BYTES", 1)
 
     async def main():
         async with Cluster(tmp_path) as cluster:
             leader = await cluster.leader()
+            for number in range(1, 21):
+                await propose(cluster, number)
             cluster.replicas["c4"] = Replica(cluster, "c4", ("c1", "c2", "c3"))
             await cluster.replicas["c4"].start()
             cluster.network.cuts = {("c4", leader.name)}
@@ -177,6 +180,9 @@
                 await add("alice", "c5", "127.0.0.1:9005")
             assert leader.agreement._majority_count() == 2
             cluster.network.heal()
+            cluster.network.delay_ms = (40, 50)
+            await until(lambda: leader.agreement._majority_count() == 3)
+            assert cluster.replicas["c4"].log.synced_index >= 20
             await until(lambda: leader.agreement.status().may_change_voters)
             assert leader.agreement._majority_count() == 3
             await leader.agreement.remove_voter("alice", leader.name)
