Measure the cost of claims

Cause: a keeper's memory and the claims a second of one process were unknown. Ruled out: peer links in this measurement; all instances are in one process. Change: add cardamomrun_bench.claim_cost; stop the search for keepers at three; test that planned restarts do not excuse a crash.

--- /dev/null
+++ b/packages/cardamomrun-bench/src/cardamomrun_bench/claim_cost.py
@@ -0,0 +1,194 @@
+"""Cost of idempotency claims: memory a claim at a keeper, and claims a second.
+
+Run with `python -m cardamomrun_bench.claim_cost`; prints one JSON object per size. All
+instances are in one process and their messages are direct calls, so the figures leave
+out the cost of peer links.
+"""
+
+import asyncio
+import gc
+import json
+import time
+import tracemalloc
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from cardamomrun_base.clock import SystemClock
+from cardamomrun_base.interfaces import ClaimKey, RecordStore, Won
+from cardamomrun_base.messages import ClaimRequest, ClaimUpdate
+from cardamomrun_base.model import (
+    InstanceId,
+    Kind,
+    MemberBody,
+    Record,
+    RosterBody,
+    RosterMember,
+)
+from cardamomrun_base.settings import FleetSettings, NodeSettings, Role
+from cardamomrun_requests.claims import QuorumClaims
+from cardamomrun_requests.keeper import ROSTER_KEY, Keeper
+
+__all__ = ["main"]
+
+# Claims held at one keeper. The target scale leaves about 19,000, and the table holds
+# 65,536.
+CLAIM_COUNTS = (1_000, 19_000, 65_000)
+ROSTER_COUNT = 420
+DOMAIN_COUNT = 4
+POLL_COUNT = 500
+INCARNATION = 1
+
+
+class _Store:
+    """Holds the roster only."""
+
+    def __init__(self, roster: Record) -> None:
+        self._roster = roster
+
+    def get(self, kind: Kind, key: str) -> Record | None:
+        return self._roster if kind is Kind.ROSTER else None
+
+    def all(self, kind: Kind) -> list[Record]:
+        return [self._roster] if kind is Kind.ROSTER else []
+
+    def put(self, record: Record) -> bool:
+        return False
+
+    def subscribe(self, kind: Kind, callback: Callable[[Record], None]) -> None:
+        pass
+
+
+class _DirectFleet:
+    """Calls the handlers of other instances in the same process."""
+
+    def __init__(
+        self,
+        instance_id: InstanceId,
+        roster: Record,
+        fleets: "dict[InstanceId, _DirectFleet]",
+    ) -> None:
+        self.instance_id = instance_id
+        self.store: RecordStore = _Store(roster)
+        self._fleets = fleets
+        self._handlers: dict[type, Callable] = {}
+        fleets[instance_id] = self
+
+    def handle(self, message_type: type, handler: Callable) -> None:
+        self._handlers[message_type] = handler
+
+    def members(self) -> list[MemberBody]:
+        return []
+
+    def add_address(self, instance_id: InstanceId, peer_address: str) -> None:
+        pass
+
+    def may_be_behind(self) -> bool:
+        return False
+
+    async def request(
+        self, instance_id: InstanceId, message: Any, *, timeout_ms: int
+    ) -> Any:
+        handler = self._fleets[instance_id]._handlers[type(message)]
+        return await handler(self.instance_id, message)
+
+
+def _settings() -> NodeSettings:
+    return NodeSettings(
+        instance_id="i0",
+        region="r",
+        failure_domain="d0",
+        roles=(Role.ENTRY,),
+        host="127.0.0.1",  # type: ignore[arg-type]
+        front_port=1,
+        admin_port=2,
+        peer_port=3,
+        fleet=FleetSettings(key_file=Path("unused")),
+        announcement_tokens_file=Path("unused"),
+    )
+
+
+def _roster() -> Record:
+    members = tuple(
+        RosterMember(f"i{number}", INCARNATION, f"d{number % DOMAIN_COUNT}")
+        for number in range(ROSTER_COUNT)
+    )
+    body = RosterBody(1, members, ())
+    return Record.of(Kind.ROSTER, ROSTER_KEY, "control", (1, 0), body)
+
+
+def _request(number: int) -> ClaimRequest:
+    # New strings for every claim, as they are after decoding a message.
+    return ClaimRequest(
+        f"{number:032x}", f"{number + 1:032x}", f"{number + 2:032x}", f"i{number}", 1
+    )
+
+
+def _keeper_memory_bytes(claim_count: int) -> float:
+    """Return the growth of traced memory per claim."""
+    fleet = _DirectFleet("i0", _roster(), {})
+    keeper = Keeper(_settings(), SystemClock(), fleet, INCARNATION)
+    keeper.request(_request(0))
+    gc.collect()
+    tracemalloc.start()
+    for number in range(1, claim_count):
+        keeper.request(_request(number))
+    gc.collect()
+    held_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert keeper.claim_count == claim_count
+    return held_bytes / (claim_count - 1)
+
+
+def _keeper_claims_per_s(claim_count: int) -> float:
+    """Return how many claims one keeper grants and settles in a second."""
+    fleet = _DirectFleet("i0", _roster(), {})
+    keeper = Keeper(_settings(), SystemClock(), fleet, INCARNATION)
+    requests = [_request(number) for number in range(claim_count)]
+    updates = [
+        ClaimUpdate(one.key_hash, one.attempt_id, "done", 200) for one in requests
+    ]
+    begun_s = time.process_time()
+    for request in requests:
+        keeper.request(request)
+    for update in updates:
+        keeper.update(update)
+    return claim_count / (time.process_time() - begun_s)
+
+
+async def _whole_claims_per_s(held_count: int) -> float:
+    """Return claims a second: origin and 3 keepers in one process, with settling."""
+    roster = _roster()
+    fleets: dict[InstanceId, _DirectFleet] = {}
+    for number in range(ROSTER_COUNT):
+        fleet = _DirectFleet(f"i{number}", roster, fleets)
+        keeper = Keeper(_settings(), SystemClock(), fleet, INCARNATION)
+        for held in range(held_count * 3 // ROSTER_COUNT):
+            keeper.request(_request(held))
+    claims = QuorumClaims(_settings(), SystemClock(), fleets["i0"])
+    begun_s = time.process_time()
+    for number in range(POLL_COUNT):
+        won = await claims.claim(ClaimKey(f"claim-{number}", "r"))
+        assert isinstance(won, Won)
+        await claims.settle_done(won, 200)
+    await claims.finish()
+    return POLL_COUNT / (time.process_time() - begun_s)
+
+
+def main() -> None:
+    """Print the cost for each size."""
+    for claim_count in CLAIM_COUNTS:
+        row = {
+            "claim_count": claim_count,
+            "roster_count": ROSTER_COUNT,
+            "keeper_bytes_per_claim": round(_keeper_memory_bytes(claim_count)),
+            "keeper_claims_per_cpu_s": round(_keeper_claims_per_s(claim_count)),
+            "whole_claims_per_cpu_s": round(
+                asyncio.run(_whole_claims_per_s(claim_count))
+            ),
+        }
+        print(json.dumps(row))
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/cardamomrun-requests/src/cardamomrun_requests/claims.py
+++ b/packages/cardamomrun-requests/src/cardamomrun_requests/claims.py
@@ -81,15 +81,19 @@
 ) -> tuple[RosterMember, ...]:
     """Return the keepers of a key: 3, in different failure domains if possible."""
     by_id = {member.instance_id: member for member in members}
-    ranked = [by_id[instance_id] for instance_id in rank(key_hash, by_id)]
     chosen: list[RosterMember] = []
+    spare: list[RosterMember] = []
     domains: set[str] = set()
-    for member in ranked:
-        if member.failure_domain not in domains:
-            domains.add(member.failure_domain)
-            chosen.append(member)
-    chosen += [member for member in ranked if member not in chosen]
-    return tuple(chosen[:KEEPER_COUNT])
+    for instance_id in rank(key_hash, by_id):
+        member = by_id[instance_id]
+        if member.failure_domain in domains:
+            spare.append(member)
+            continue
+        domains.add(member.failure_domain)
+        chosen.append(member)
+        if len(chosen) == KEEPER_COUNT:
+            break
+    return tuple((chosen + spare)[:KEEPER_COUNT])
 
 
 @dataclass
--- a/packages/cardamomrun-requests/tests/test_quarantine.py
+++ b/packages/cardamomrun-requests/tests/test_quarantine.py
@@ -144,7 +144,16 @@
     return await service.crash("b9")
 
 
+async def planned_restart(service):
+    for number in range(1, 20):
+        server = service.servers[f"b{number}"]
+        service.announce(replace(server, phase=BackendPhase.DRAINING), 1)
+        service.announce(replace(server, incarnation=2))
+    return await service.crash("b0")
+
+
 DEATHS = {
+    "a crash during planned restarts": (planned_restart, True),
     "a dying process that closes its port late": (port_closes_late, True),
     "a server that is back before the check": (restarts_at_once, True),
     "a mass restart that is over": (mass_restart_long_ago, True),
@@ -229,7 +238,6 @@
 
     async def main():
         service = Service(instances=1)
-        service.connect = None
 
         async def hang(address):
             await sleep_ms(60_000)
