Rank keepers by a seeded hash and test freezes and lost settlements

Cause: ranking 420 members with one joined string each dominated a claim, and three rules (known end, freeze during a claim, settlement retry) had no test. Ruled out: a cache of keepers per key, since each key is seen only once or twice. Change: precompute a seed for each member once per roster. On a scratch copy (trial), leaving out each of the three rules fails its new test.

--- a/packages/cardamomrun-requests/src/cardamomrun_requests/claims.py
+++ b/packages/cardamomrun-requests/src/cardamomrun_requests/claims.py
@@ -33,9 +33,11 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from xxhash import xxh3_64_intdigest
+
 from cardamomrun_base.clock import MS_PER_S, Clock
 from cardamomrun_base.errors import CardamomrunError
-from cardamomrun_base.hashing import rank
+from cardamomrun_base.hashing import score
 from cardamomrun_base.interfaces import (
     AlreadyDone,
     ClaimKey,
@@ -63,7 +65,7 @@
     Keeper,
 )
 
-__all__ = ["QuorumClaims", "keepers_of"]
+__all__ = ["KeeperMap", "QuorumClaims"]
 
 KEEPER_COUNT = 3
 CLAIM_MS = 250
@@ -76,24 +78,38 @@
 UPDATE_PAUSE_MS = 200
 
 
-def keepers_of(
-    key_hash: str, members: Iterable[RosterMember]
-) -> tuple[RosterMember, ...]:
-    """Return the keepers of a key: 3, in different failure domains if possible."""
-    by_id = {member.instance_id: member for member in members}
-    chosen: list[RosterMember] = []
-    spare: list[RosterMember] = []
-    domains: set[str] = set()
-    for instance_id in rank(key_hash, by_id):
-        member = by_id[instance_id]
-        if member.failure_domain in domains:
-            spare.append(member)
-            continue
-        domains.add(member.failure_domain)
-        chosen.append(member)
-        if len(chosen) == KEEPER_COUNT:
-            break
-    return tuple((chosen + spare)[:KEEPER_COUNT])
+class KeeperMap:
+    """Chooses the keepers of each key among the members of one roster.
+
+    The weight of a member for a key is the hash of the key seeded with the hash of the
+    member. This is rendezvous hashing as in `cardamomrun_base.hashing.rank`, with one
+    hash of a short text less per member: ranking is the main cost of a claim.
+    """
+
+    def __init__(self, members: Iterable[RosterMember]) -> None:
+        self._members = {member.instance_id: member for member in members}
+        self._seeds = [(score(name), name) for name in self._members]
+
+    def keepers(self, key_hash: str) -> tuple[RosterMember, ...]:
+        """Return 3 keepers, in different failure domains as far as there are enough."""
+        key = key_hash.encode()
+        ranked = sorted(
+            ((xxh3_64_intdigest(key, seed), name) for seed, name in self._seeds),
+            reverse=True,
+        )
+        chosen: list[RosterMember] = []
+        spare: list[RosterMember] = []
+        domains: set[str] = set()
+        for _, instance_id in ranked:
+            member = self._members[instance_id]
+            if member.failure_domain in domains:
+                spare.append(member)
+                continue
+            domains.add(member.failure_domain)
+            chosen.append(member)
+            if len(chosen) == KEEPER_COUNT:
+                break
+        return tuple((chosen + spare)[:KEEPER_COUNT])
 
 
 @dataclass
@@ -169,6 +185,8 @@
         self._keeper = keeper
         self._claim_ms = claim_ms
         self._roster: RosterBody | None = None
+        self._current = KeeperMap(())
+        self._previous = KeeperMap(())
         self._roster_arrived_ms = 0.0
         self._tasks: set[asyncio.Task] = set()
         record = fleet.store.get(Kind.ROSTER, ROSTER_KEY)
@@ -231,17 +249,19 @@
         if self._roster is None or roster.epoch != self._roster.epoch:
             self._roster_arrived_ms = self._clock.now_ms()
         self._roster = roster
+        self._current = KeeperMap(roster.members)
+        self._previous = KeeperMap(roster.previous_members)
 
     def _previous_counts(self) -> bool:
         age_ms = self._clock.now_ms() - self._roster_arrived_ms
         return age_ms < self._settings.idempotency_retention_ms
 
     def _ballot(self, key_hash: str, roster: RosterBody) -> _Ballot:
-        current = keepers_of(key_hash, roster.members)
+        current = self._current.keepers(key_hash)
         ids = [member.instance_id for member in current]
         electorates = [_Electorate(len(current), frozenset(ids))]
         if roster.previous_members and self._previous_counts():
-            previous = keepers_of(key_hash, roster.previous_members)
+            previous = self._previous.keepers(key_hash)
             electorates.append(_previous_electorate(previous, roster.members))
             ids += [member.instance_id for member in previous]
         return _Ballot(tuple(electorates), tuple(dict.fromkeys(ids)))
--- a/packages/cardamomrun-requests/tests/test_claims.py
+++ b/packages/cardamomrun-requests/tests/test_claims.py
@@ -7,6 +7,7 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
+from cardamomrun_base.clock import ManualClock
 from cardamomrun_base.interfaces import (
     AlreadyDone,
     ClaimKey,
@@ -18,7 +19,7 @@
 )
 from cardamomrun_base.messages import ClaimRequest, ClaimUpdate
 from cardamomrun_base.model import RosterMember
-from cardamomrun_requests.claims import keepers_of
+from cardamomrun_requests.claims import KeeperMap, QuorumClaims
 from cardamomrun_requests.fingerprint import BODY_PREFIX_BYTES, fingerprint
 from cardamomrun_requests.keeper import Keeper
 
@@ -51,6 +52,11 @@
     return network.nodes[name].claims.claim(key)
 
 
+def keeper_ids(network):
+    chosen = KeeperMap(network.roster_members()).keepers("k")
+    return [member.instance_id for member in chosen]
+
+
 async def sleep_ms(duration_ms):
     await asyncio.sleep(duration_ms / 1_000)
 
@@ -157,7 +163,7 @@
 
     async def main():
         network = started(4, domains=4)
-        keepers = {one.instance_id for one in keepers_of("k", network.roster_members())}
+        keepers = set(keeper_ids(network))
         (origin,) = set(network.nodes) - keepers
         other = min(keepers)
         assert isinstance(await claim(network, origin), Won)
@@ -197,6 +203,55 @@
     run(main())
 
 
+def test_winner_frozen_during_its_claim():
+    """Guards against winning by grants that were answered before a long freeze."""
+
+    async def main():
+        network = started()
+        clock = ManualClock()
+        node = network.nodes["i0"]
+        claims = QuorumClaims(node.settings, clock, node.fleet, keeper=node.keeper)
+
+        def freeze(message):
+            clock.advance_ms(6_000)
+            return 1
+
+        network.fault("i0", "i1").delay_ms = freeze
+        assert not isinstance(await claims.claim(KEY), Won)
+
+    run(main())
+
+
+def test_known_end_outweighs_a_majority():
+    """Guards against a second run when one keeper alone still knows of the first."""
+
+    async def main():
+        network = started()
+        network.nodes["i1"].keeper.update(ClaimUpdate("k", "one", "done", 200))
+        assert await claim(network, "i0") == AlreadyDone(200)
+
+    run(main())
+
+
+def test_settlement_is_sent_again():
+    """Guards against a done request that is reported as running after one loss."""
+
+    async def main():
+        network = started()
+        lossy = [network.fault("i0", target) for target in ("i1", "i2")]
+        for fault in lossy:
+            fault.lose_request = ClaimUpdate
+        settling = asyncio.create_task(settle(network, "i0", "settle_done", 200))
+        await sleep_ms(900)
+        for fault in lossy:
+            fault.lose_request = None
+        await settling
+        network.up.discard("i0")
+        assert await claim(network, "i1") == AlreadyDone(200)
+
+    run(main())
+
+
 # Keepers that restart after i0 won with i1 alone besides itself, and whether the roster
 # that names their new incarnations is committed. No such case may let i2 win.
 RESTARTS = {
@@ -287,7 +342,7 @@
 
     async def main():
         network = started(count)
-        keepers = [one.instance_id for one in keepers_of("k", network.roster_members())]
+        keepers = keeper_ids(network)
         assert len(keepers) == min(count, 3)
         network.up -= set(keepers[quorum:])
         assert isinstance(await claim(network, keepers[0]), Won)
@@ -299,9 +354,10 @@
     """Guards against two keepers that one failure domain takes away."""
     members = [RosterMember(f"i{n}", 1, f"d{n % 4}") for n in range(40)]
     for key in range(100):
-        chosen = keepers_of(str(key), members)
+        chosen = KeeperMap(members).keepers(str(key))
         assert len({one.failure_domain for one in chosen}) == 3
-    assert len(keepers_of("k", [RosterMember(f"i{n}", 1, "d") for n in range(9)])) == 3
+    one_domain = [RosterMember(f"i{n}", 1, "d") for n in range(9)]
+    assert len(KeeperMap(one_domain).keepers("k")) == 3
 
 
 steps = st.lists(
