Import test builders of the own folder and run all tests together

Cause: builders.py stands in several packages; top-level imports would clash. Ruled out: unique builder names (relative imports work with pytest's importlib mode).

--- a/packages/cardamomrun-base/tests/test_bad_input.py
+++ b/packages/cardamomrun-base/tests/test_bad_input.py
@@ -1,12 +1,13 @@
 """Wrong settings and documents are refused with file, line, key and remedy."""
 
 import pytest
-from base_builders import document_value, settings_value, to_text
 
 from cardamomrun_base.documents import load_document
 from cardamomrun_base.errors import DocumentError, SettingsError
 from cardamomrun_base.settings import load_settings
 
+from .builders import document_value, settings_value, to_text
+
 BAD_SETTINGS = [
     ("unknown key", to_text(settings_value(colour="red")), "colour"),
     ("wrong type", to_text(settings_value(front_port="many")), "front_port"),
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,7 +4,8 @@
 import json
 
 import pytest
-from processes import Processes, document, until
+
+from .processes import Processes, document, until
 
 
 @pytest.fixture
--- a/tests/test_thin_path.py
+++ b/tests/test_thin_path.py
@@ -4,11 +4,11 @@
 import json
 import signal
 
-from processes import until
-
 from cardamomrun_base.headers import IDEMPOTENCY_KEY, OUTCOME
 from cardamomrun_bench.caller import Caller
 
+from .processes import until
+
 HOST = {"Host": "rota-desk.example"}
 
 
