Look up the keeper's place once per roster record

Cause: each vote searched up to 840 roster members, and a full table logged one line per refused claim. Ruled out: nothing else. Change: keep the place until the record changes; log a full table once until there is room; use the front's log prefix, as the part is the request path. Conclusion: ranking the roster remains the main cost of a claim.

--- a/packages/cardamomrun-requests/src/cardamomrun_requests/claims.py
+++ b/packages/cardamomrun-requests/src/cardamomrun_requests/claims.py
@@ -82,8 +82,8 @@
     """Chooses the keepers of each key among the members of one roster.
 
     The weight of a member for a key is the hash of the key seeded with the hash of the
-    member. This is rendezvous hashing as in `cardamomrun_base.hashing.rank`, with one
-    hash of a short text less per member: ranking is the main cost of a claim.
+    member: rendezvous hashing as in `cardamomrun_base.hashing.rank`, but with the
+    member's part computed once per roster, since ranking is the main cost of a claim.
     """
 
     def __init__(self, members: Iterable[RosterMember]) -> None:
--- a/packages/cardamomrun-requests/src/cardamomrun_requests/keeper.py
+++ b/packages/cardamomrun-requests/src/cardamomrun_requests/keeper.py
@@ -11,7 +11,7 @@
 from cardamomrun_base.interfaces import Fleet
 from cardamomrun_base.logs import PartLog
 from cardamomrun_base.messages import ClaimAnswer, ClaimRequest, ClaimUpdate, Settled
-from cardamomrun_base.model import InstanceId, Kind, RosterBody, RosterMember
+from cardamomrun_base.model import InstanceId, Kind, Record, RosterBody, RosterMember
 from cardamomrun_base.settings import NodeSettings
 
 __all__ = ["ROSTER_KEY", "Keeper"]
@@ -42,7 +42,7 @@
 RELEASED = "released"
 
 _ABSTENTION = ClaimAnswer(ABSTAINS)
-_log = PartLog("registry")
+_log = PartLog("front")
 
 
 @dataclass(slots=True)
@@ -82,6 +82,9 @@
         # Both are ordered by the time of the last change, oldest first.
         self._claims: dict[str, _Claim] = {}
         self._released: dict[str, float] = {}
+        self._full_is_logged = False
+        self._roster_record: Record | None = None
+        self._place: RosterMember | None = None
         fleet.handle(ClaimRequest, self.handle_request)
         fleet.handle(ClaimUpdate, self.handle_update)
 
@@ -137,8 +140,11 @@
     def _grant(self, request: ClaimRequest) -> ClaimAnswer:
         if len(self._claims) >= self._max_claim_count:
             # Forgetting a claim to make room would let its key run twice.
-            _log.warning("claim table is full; add entry instances")
+            if not self._full_is_logged:
+                _log.warning("claim table is full; add entry instances")
+            self._full_is_logged = True
             return _ABSTENTION
+        self._full_is_logged = False
         self._claims[request.key_hash] = _Claim(
             request_hash=request.request_hash,
             attempt_id=request.attempt_id,
@@ -200,10 +206,12 @@
         roster: RosterBody = record.content
         if asked_epoch < roster.epoch:
             return False
-        member = self._own_place(roster)
-        if member is None:
+        if record is not self._roster_record:
+            self._roster_record = record
+            self._place = self._own_place(roster)
+        if self._place is None:
             return False
-        if member.incarnation == self._incarnation:
+        if self._place.incarnation == self._incarnation:
             return True
         # An earlier run of this process may have granted claims that this run does
         # not know; they all end one retention time after the start of this run.
