Test late results, old evidence and versions after an outage

Cause: a trial with changed code showed that no test failed when late results changed an avoidance, when evidence of an earlier run was counted, and when versions were not repeated after an outage. Ruled out: nothing. Change: one new test, two stricter ones. Conclusion: each of the three changes should now fail a test.

--- a/packages/cardamomrun-backends/tests/test_decider.py
+++ b/packages/cardamomrun-backends/tests/test_decider.py
@@ -290,6 +290,7 @@
 def test_old_evidence_is_dropped():
     # Guards against ejections for failures from hours without a decider.
     entry = Entry()
+    entry.report(TAKEN)
     entry.attempt(server("b1"), AttemptResult.FAILED)
     entry.report(LOST)
     entry.clock.advance_ms(10_000)
--- a/packages/cardamomrun-backends/tests/test_selection.py
+++ b/packages/cardamomrun-backends/tests/test_selection.py
@@ -86,6 +86,25 @@
     assert "b0" in instance.view().healthy
 
 
+@pytest.mark.parametrize("result", [AttemptResult.GOOD, AttemptResult.FAILED])
+def test_late_results_do_not_change_an_avoidance(result):
+    # Guards against requests sent before an avoidance that end or lengthen it.
+    instance = Instance(servers(10))
+    late = [instance.backends.started(server("b0")) for _ in range(3)]
+    instance.clock.advance_ms(1)
+    for _ in range(3):
+        instance.attempt(server("b0"), AttemptResult.FAILED)
+    for attempt in late:
+        instance.backends.finished(attempt, result)
+    instance.clock.advance_ms(4_999)
+    assert instance.view().avoided == ("b0",)
+    instance.clock.advance_ms(1)
+    assert instance.view().avoided == ()
+    instance.attempt(server("b0"), AttemptResult.FAILED)
+    instance.clock.advance_ms(9_999)
+    assert instance.view().avoided == ("b0",)
+
+
 def test_success_between_failures_prevents_avoidance():
     # Guards against avoidance of a server that fails now and then.
     instance = Instance(servers(10))
@@ -103,7 +122,9 @@
     instance.clock.advance_ms(20_000)
     publish(instance.store, server("b0", incarnation=2))
     assert "b0" in instance.view().healthy
+    instance.backends.evidence.take()
     instance.backends.finished(before, AttemptResult.FAILED)
+    assert instance.backends.evidence.take() == ()
     cold = Counter(instance.choose().server_id for _ in range(2_000))["b0"]
     instance.clock.advance_ms(10_000)
     warm = Counter(instance.choose().server_id for _ in range(2_000))["b0"]
