Simulate ejection policies on a manual clock

Ruled out: driving LiveBackends for each attempt; it rebuilds its view for each choice, which is too slow for millions of attempts. ServiceJudgement, ServerState, subset and floor are the product's own.

--- /dev/null
+++ b/packages/cardamomrun-bench/src/cardamomrun_bench/ejection_policies.py
@@ -0,0 +1,314 @@
+"""Ways to take backend servers out of use, compared by `judgement_experiment`."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Any
+
+import numpy as np
+
+from cardamomrun_backends.decider import DECIDE_MS
+from cardamomrun_backends.floor import allowed_removals, floor_count
+from cardamomrun_backends.judgement import ServiceJudgement
+from cardamomrun_backends.profiles import JudgementProfile, profile_settings
+from cardamomrun_backends.server_state import MIN_WEIGHT, SLOW_START_MS, ServerState
+from cardamomrun_backends.servers import ServiceServers
+from cardamomrun_base.clock import Clock
+from cardamomrun_base.interfaces import AttemptResult
+from cardamomrun_base.messages import BackendEvidence
+from cardamomrun_bench.judgement_traffic import (
+    FAILED,
+    GOOD,
+    SLOW,
+    UNREACHABLE,
+    ServiceModel,
+)
+
+__all__ = ["ConsecutiveFailures", "FleetJudgement", "NoEjection", "Policy", "Removal"]
+
+REPORT_MS = 500.0
+# From a decision until all instances honour it: three or four hops of 1 to 1.5 ms in
+# the overlay, and a generous allowance for processing.
+GRANT_DELAY_MS = 50.0
+
+CONSECUTIVE_FAILURE_COUNT = 5
+LOCAL_EJECTION_MS = 30_000.0
+LOCAL_EJECTION_RATIO = 0.1
+
+RESULTS = {
+    GOOD: AttemptResult.GOOD,
+    FAILED: AttemptResult.FAILED,
+    SLOW: AttemptResult.SLOW,
+    UNREACHABLE: AttemptResult.UNREACHABLE,
+}
+RESULT_COUNT = len(RESULTS)
+
+
+@dataclass(frozen=True)
+class Removal:
+    """A server taken out of use by one instance, or by all if `instance` is None."""
+
+    at_ms: float
+    server: int
+    instance: int | None = None
+
+
+class Policy:
+    """Takes results and tells which instance may not use which server.
+
+    `blocked` and `ramp_since_ms` have one row for each instance and one column for each
+    server; `blocked` is replaced, never changed in place.
+    """
+
+    name = "no-ejection"
+
+    def __init__(self, service: ServiceModel, subsets: np.ndarray) -> None:
+        self._service = service
+        self._subsets = subsets
+        self.blocked = np.zeros(subsets.shape, dtype=bool)
+        self.ramp_since_ms = np.full(subsets.shape, -np.inf)
+        self.last_ramp_ms = float("-inf")
+        self.removals: list[Removal] = []
+
+    def take(
+        self,
+        now_ms: float,
+        instance: np.ndarray,
+        server: np.ndarray,
+        result: np.ndarray,
+        started_ms: np.ndarray,
+    ) -> None:
+        """Take the attempts that ended, in their order."""
+
+    def tick(self, now_ms: float) -> None:
+        """Follow the time; replaces `blocked` if it changed."""
+
+    def weights(
+        self, now_ms: float, instance: np.ndarray, server: np.ndarray
+    ) -> np.ndarray | None:
+        """Return the slow-start weights, or None if all are 1."""
+        if now_ms - self.last_ramp_ms >= SLOW_START_MS:
+            return None
+        age_ms = now_ms - self.ramp_since_ms[instance, server]
+        return np.clip(age_ms / SLOW_START_MS, MIN_WEIGHT, 1.0)
+
+
+class NoEjection(Policy):
+    """Uses all servers at all times."""
+
+
+class ConsecutiveFailures(Policy):
+    """Each instance ejects a server by itself after failures in a row.
+
+    Slow answers are not failures. An ejection lasts `LOCAL_EJECTION_MS`; an instance
+    ejects at most `LOCAL_EJECTION_RATIO` of the service's servers at a time, but at
+    least one.
+    """
+
+    name = "consecutive-failures"
+
+    def __init__(self, service: ServiceModel, subsets: np.ndarray) -> None:
+        super().__init__(service, subsets)
+        self._limit = max(1, int(LOCAL_EJECTION_RATIO * service.server_count))
+        self._failures = np.zeros(subsets.shape, dtype=int)
+        self._until_ms = np.zeros(subsets.shape)
+        self._next_end_ms = float("inf")
+        self._changed = False
+
+    def take(
+        self,
+        now_ms: float,
+        instance: np.ndarray,
+        server: np.ndarray,
+        result: np.ndarray,
+        started_ms: np.ndarray,
+    ) -> None:
+        failed = (result == FAILED) | (result == UNREACHABLE)
+        # Only pairs with a failure now or before need the order of their results.
+        listed = np.zeros_like(self.blocked)
+        listed[instance[failed], server[failed]] = True
+        relevant = (listed | (self._failures > 0))[instance, server]
+        rows = zip(
+            instance[relevant].tolist(),
+            server[relevant].tolist(),
+            failed[relevant].tolist(),
+            strict=True,
+        )
+        for row, column, is_failed in rows:
+            self._take_one(now_ms, row, column, is_failed)
+
+    def _take_one(self, now_ms: float, row: int, column: int, failed: bool) -> None:
+        if self._until_ms[row, column] > now_ms:
+            return
+        self._failures[row, column] = self._failures[row, column] + 1 if failed else 0
+        if self._failures[row, column] < CONSECUTIVE_FAILURE_COUNT:
+            return
+        if (self._until_ms[row] > now_ms).sum() >= self._limit:
+            return
+        self._failures[row, column] = 0
+        self._until_ms[row, column] = now_ms + LOCAL_EJECTION_MS
+        self.removals.append(Removal(now_ms, column, row))
+        self._changed = True
+
+    def tick(self, now_ms: float) -> None:
+        if not self._changed and now_ms < self._next_end_ms:
+            return
+        self._changed = False
+        self.blocked = self._until_ms > now_ms
+        ends = self._until_ms[self.blocked]
+        self._next_end_ms = ends.min() if ends.size else float("inf")
+
+
+class FleetJudgement(Policy):
+    """The product's rules: the decider's ejections and each instance's avoidance.
+
+    Uses the product's `ServiceJudgement`, `ServerState` and floor; its messages are
+    direct calls, with `GRANT_DELAY_MS` from a decision until it is honoured.
+    """
+
+    name = "fleet"
+
+    def __init__(
+        self,
+        service: ServiceModel,
+        subsets: np.ndarray,
+        clock: Clock,
+        profile: JudgementProfile | None = None,
+    ) -> None:
+        super().__init__(service, subsets)
+        settings = profile or profile_settings(service.profile)
+        self._judgement = ServiceJudgement(settings, clock)
+        servers = service.servers()
+        self._ids = [server.server_id for server in servers]
+        self._columns = {name: column for column, name in enumerate(self._ids)}
+        serving = {server.server_id: server for server in servers}
+        self._servers = ServiceServers(serving, {}, {}, {})
+        self._floor_count = floor_count(service.floor, len(servers))
+        self._counts = np.zeros((*subsets.shape, RESULT_COUNT), dtype=int)
+        # Instances report at different moments of the interval.
+        spread = np.arange(service.instance_count) / service.instance_count
+        self._next_report_ms = REPORT_MS * spread
+        self._next_decision_ms = DECIDE_MS
+        self._granted: tuple[str, ...] = ()
+        self._honoured: tuple[str, ...] = ()
+        self._pending: list[tuple[float, tuple[str, ...]]] = []
+        self._states: dict[tuple[int, int], ServerState] = {}
+        self._dirty = np.zeros(subsets.shape, dtype=bool)
+        self._avoiding: set[tuple[int, int]] = set()
+        self._changed = False
+
+    def take(
+        self,
+        now_ms: float,
+        instance: np.ndarray,
+        server: np.ndarray,
+        result: np.ndarray,
+        started_ms: np.ndarray,
+    ) -> None:
+        np.add.at(self._counts, (instance, server, result), 1)
+        failed = (result == FAILED) | (result == UNREACHABLE)
+        self._dirty[instance[failed], server[failed]] = True
+        relevant = self._dirty[instance, server]
+        rows = zip(
+            instance[relevant].tolist(),
+            server[relevant].tolist(),
+            result[relevant].tolist(),
+            started_ms[relevant].tolist(),
+            strict=True,
+        )
+        for row, column, one, at_ms in rows:
+            self._record(now_ms, (row, column), one, at_ms)
+
+    def _record(
+        self, now_ms: float, pair: tuple[int, int], result: int, started_ms: float
+    ) -> None:
+        state = self._states.setdefault(pair, ServerState(1, ramp_since_ms=-np.inf))
+        avoided_before = state.wants_avoidance(now_ms)
+        state.record(now_ms, started_ms, RESULTS[result])
+        if result == GOOD and started_ms >= state.avoided_since_ms:
+            self._dirty[pair] = False
+        if state.wants_avoidance(now_ms) and not avoided_before:
+            self._avoiding.add(pair)
+            self._changed = True
+            self._ramp(pair, state.ramp_since_ms)
+
+    def _ramp(self, where: Any, since_ms: float) -> None:
+        self.ramp_since_ms[where] = since_ms
+        self.last_ramp_ms = max(self.last_ramp_ms, since_ms)
+
+    def tick(self, now_ms: float) -> None:
+        self._report(now_ms)
+        if now_ms >= self._next_decision_ms:
+            self._next_decision_ms += DECIDE_MS
+            self._decide(now_ms)
+        while self._pending and self._pending[0][0] <= now_ms:
+            self._honour(now_ms, self._pending.pop(0)[1])
+        ended = {
+            pair
+            for pair in self._avoiding
+            if not self._states[pair].wants_avoidance(now_ms)
+        }
+        self._avoiding -= ended
+        if self._changed or ended:
+            self._changed = False
+            self._block(now_ms)
+
+    def _report(self, now_ms: float) -> None:
+        for row in np.nonzero(self._next_report_ms <= now_ms)[0].tolist():
+            self._next_report_ms[row] += REPORT_MS
+            domain = self._service.failure_domains[self._service.domain_of(row)]
+            counts = self._counts[row]
+            for column in np.nonzero(counts.any(axis=1))[0].tolist():
+                self._judgement.add(domain, self._evidence(column, counts[column]))
+            counts[:] = 0
+
+    def _evidence(self, column: int, counts: np.ndarray) -> BackendEvidence:
+        good, failed, slow, unreachable = counts.tolist()
+        return BackendEvidence(
+            f"{self._service.name}/production",
+            self._ids[column],
+            good,
+            failed,
+            slow,
+            unreachable,
+        )
+
+    def _decide(self, now_ms: float) -> None:
+        decision = self._judgement.decide(self._servers, self._service.floor)
+        if decision.ejected == self._granted:
+            return
+        for server_id in set(decision.ejected) - set(self._granted):
+            self.removals.append(Removal(now_ms, self._columns[server_id]))
+        self._granted = decision.ejected
+        self._pending.append((now_ms + GRANT_DELAY_MS, decision.ejected))
+
+    def _honour(self, now_ms: float, ejected: tuple[str, ...]) -> None:
+        for server_id in set(self._honoured) - set(ejected):
+            self._ramp((slice(None), self._columns[server_id]), now_ms)
+        self._honoured = ejected
+        self._changed = True
+
+    def _block(self, now_ms: float) -> None:
+        """Block what each instance's own view of the floor allows."""
+        names = set(self._ids)
+        ejected = allowed_removals(self._honoured, names, self._floor_count)
+        blocked = np.zeros_like(self.blocked)
+        blocked[:, self._list_columns(ejected)] = True
+        healthy = names - set(ejected)
+        before = self.blocked
+        for row in sorted({row for row, _ in self._avoiding}):
+            wanted = self._wanted(row)
+            avoided = allowed_removals(wanted, healthy, self._floor_count)
+            columns = self._list_columns(avoided)
+            for column in columns:
+                if not before[row, column]:
+                    self.removals.append(Removal(now_ms, column, row))
+            blocked[row, columns] = True
+        self.blocked = blocked
+
+    def _wanted(self, row: int) -> list[str]:
+        pairs = [pair for pair in self._avoiding if pair[0] == row]
+        pairs.sort(key=lambda pair: (self._states[pair].avoided_since_ms, pair[1]))
+        return [self._ids[column] for _, column in pairs]
+
+    def _list_columns(self, names: Iterable[str]) -> list[int]:
+        return [self._columns[name] for name in names]
