Choose the loads of the latency experiment by argument

Ruled out: longer slices; a burst of noise would still hit one side only. Change: arguments rates and keyed_rates; the load average before and after the run is kept with the results. Conclusion: the report run can repeat 107 requests/s more often.

--- a/packages/cardamomrun-bench/src/cardamomrun_bench/latency_experiment.py
+++ b/packages/cardamomrun-bench/src/cardamomrun_bench/latency_experiment.py
@@ -13,6 +13,7 @@
 import statistics
 import tempfile
 import time
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -35,6 +36,9 @@
 __all__ = ["Side", "cpu_ms", "pair_summary"]
 
 ENTRY_COUNT, BACKEND_COUNT, SERVICE_TIME_MS = 4, 8, 5.0
+# A rate in requests a second, and whether they are POST requests with a key.
+Load = tuple[float, bool]
+
 # The first rate is what an instance handles at the target scale.
 RATES_PER_S = (107, 200, 300, 400, 500, 600, 800, 1_000)
 KEYED_RATES_PER_S = (27, 107)
@@ -155,10 +159,8 @@
 
 
 async def _measure(
-    fleet: LocalFleet, seed: int, slice_s: float, repeat_count: int
+    fleet: LocalFleet, cases: list[Load], seed: int, slice_s: float, repeat_count: int
 ) -> list[dict]:
-    cases = [(rate, False) for rate in RATES_PER_S]
-    cases += [(rate, True) for rate in KEYED_RATES_PER_S]
     sides = {case: (Side(), Side()) for case in cases}
     entry = fleet.entries[0]
     through, direct = (fleet.front(entry),), fleet.backends()
@@ -173,7 +175,9 @@
     return [pair_summary(*case, *sides[case]) for case in cases]
 
 
-async def _run(folder: Path, seed: int, slice_s: float, repeat_count: int) -> list:
+async def _run(
+    folder: Path, cases: list[Load], seed: int, slice_s: float, repeat_count: int
+) -> list[dict]:
     with LocalFleet(folder, ENTRY_COUNT, BACKEND_COUNT, SERVICE_TIME_MS) as fleet:
         await fleet.make_ready()
         front = (fleet.front(fleet.entries[0]),)
@@ -181,23 +185,34 @@
             await run_load(
                 _plan(addresses, RATES_PER_S[0], WARM_UP_S, seed, False), SystemClock()
             )
-        return await _measure(fleet, seed, slice_s, repeat_count)
+        return await _measure(fleet, cases, seed, slice_s, repeat_count)
 
 
 class Commands:
     """Runs the experiment, and reports on its results."""
 
     def run(
-        self, output: str, seed: int = 1, slice_s: float = 4.0, repeat_count: int = 6
+        self,
+        output: str,
+        seed: int = 1,
+        slice_s: float = 4.0,
+        repeat_count: int = 6,
+        rates: Sequence[float] = RATES_PER_S,
+        keyed_rates: Sequence[float] = KEYED_RATES_PER_S,
     ) -> None:
         """Measure all loads and write the results to `output`."""
+        loads = [(rate, False) for rate in rates]
+        loads += [(rate, True) for rate in keyed_rates]
+        load_average = [os.getloadavg()]
         with tempfile.TemporaryDirectory() as folder:
-            cases = asyncio.run(_run(Path(folder), seed, slice_s, repeat_count))
+            running = _run(Path(folder), loads, seed, slice_s, repeat_count)
+            cases = asyncio.run(running)
+        load_average.append(os.getloadavg())
         content = {
             "seed": seed,
             "slice_s": slice_s,
             "repeat_count": repeat_count,
-            "load_average": os.getloadavg(),
+            "load_average_before_and_after": load_average,
             "cases": cases,
         }
         Path(output).write_text(json.dumps(content))
