--- a/packages/cardamomrun-bench/src/cardamomrun_bench/latency_experiment.py
+++ b/packages/cardamomrun-bench/src/cardamomrun_bench/latency_experiment.py
@@ -218,11 +218,15 @@
         Path(output).write_text(json.dumps(content))
         print(f"{len(cases)} loads written to {output}")
 
-    def report(self, results: str, folder: str) -> None:
-        """Plot a result file as PNG and print its figures as a Markdown table."""
+    def report(self, results: str | Sequence[str], folder: str) -> None:
+        """Plot result files as PNG and print their figures as a Markdown table."""
         from cardamomrun_bench.latency_report import plot, table
 
-        cases = json.loads(Path(results).read_text())["cases"]
+        paths = results.split(",") if isinstance(results, str) else results
+        cases: list[dict[str, Any]] = []
+        for path in paths:
+            cases += json.loads(Path(path).read_text())["cases"]
+        cases.sort(key=lambda case: (case["keyed"], case["rate_per_s"]))
         plot(cases, Path(folder), GOAL_MS)
         print(table(cases))
 
