Let one of several simultaneous attempts with a key win

Ruled out: asking the first keeper before the others (a second round trip for every claim, about 2 ms of the 4.6 ms allowed). Change: the attempt with the lowest id among those that split the votes keeps its grants and asks again each 10 ms within the claim's time; the others release at once. No further poll once another attempt holds a majority.

--- a/packages/cardamomrun-requests/src/cardamomrun_requests/claims.py
+++ b/packages/cardamomrun-requests/src/cardamomrun_requests/claims.py
@@ -70,6 +70,8 @@
 KEEPER_COUNT = 3
 CLAIM_MS = 250
 START_WITHIN_MS = 5_000
+# Longer than a release of another attempt takes to arrive.
+SPLIT_PAUSE_MS = 10
 
 # Retries of a settlement last about 6 s in all, longer than a lost link takes to be
 # replaced. A keeper that misses it reports the attempt as running, never as free.
@@ -131,6 +133,7 @@
     asked_ids: tuple[InstanceId, ...]
     granted_ids: set[InstanceId] = field(default_factory=set)
     states: dict[str, int] = field(default_factory=dict)
+    holder_ids: dict[InstanceId, str] = field(default_factory=dict)
 
     def count(self, keeper_id: InstanceId, answer: ClaimAnswer) -> None:
         if answer.verdict == GRANTED:
@@ -139,6 +142,34 @@
             self.states[MISMATCH] = 0
         elif answer.verdict == HELD:
             self.states[answer.state] = answer.status
+            if answer.state == RUNNING:
+                self.holder_ids[keeper_id] = answer.attempt_id
+
+    def unasked_ids(self) -> list[InstanceId]:
+        """Return the keepers whose grant is missing."""
+        return [one for one in self.asked_ids if one not in self.granted_ids]
+
+    def is_worth_another_poll(self, attempt_id: str) -> bool:
+        """Return True if this attempt goes first among attempts that split the votes.
+
+        Attempts that ask at the same moment may each get one keeper. All but the one
+        with the lowest id give back their grants, so that one of them wins.
+        """
+        if set(self.states) != {RUNNING} or self._has_other_winner():
+            return False
+        return attempt_id < min(self.holder_ids.values())
+
+    def begin_poll(self) -> None:
+        """Forget answers that may have changed since."""
+        self.states.pop(RUNNING, None)
+        self.holder_ids.clear()
+
+    def _has_other_winner(self) -> bool:
+        for holder_id in set(self.holder_ids.values()):
+            held = {one for one, other in self.holder_ids.items() if other == holder_id}
+            if all(electorate.is_won(held) for electorate in self.electorates):
+                return True
+        return False
 
     def is_won(self) -> bool:
         # A keeper that missed a settlement expires the key earlier than one that has
@@ -213,7 +244,16 @@
             origin_id=self._fleet.instance_id,
             roster_epoch=roster.epoch,
         )
-        await self._poll(ballot, request)
+        end_ms = self._clock.now_ms() + self._claim_ms
+        await self._poll(ballot, request, end_ms)
+        while (
+            not ballot.is_won()
+            and ballot.is_worth_another_poll(attempt_id)
+            and self._clock.now_ms() + SPLIT_PAUSE_MS < end_ms
+        ):
+            await self._clock.sleep_ms(SPLIT_PAUSE_MS)
+            ballot.begin_poll()
+            await self._poll(ballot, request, end_ms)
         if ballot.is_won() and self._clock.now_ms() < start_before_ms:
             return Won(key, attempt_id, start_before_ms)
         # A silent keeper may have granted and its answer been lost.
@@ -266,21 +306,21 @@
             ids += [member.instance_id for member in previous]
         return _Ballot(tuple(electorates), tuple(dict.fromkeys(ids)))
 
-    async def _poll(self, ballot: _Ballot, request: ClaimRequest) -> None:
-        """Ask all keepers at once, until it is decided or the time is over."""
-        loop = asyncio.get_running_loop()
-        end_s = loop.time() + self._claim_ms / MS_PER_S
+    async def _poll(
+        self, ballot: _Ballot, request: ClaimRequest, end_ms: float
+    ) -> None:
+        """Ask all missing keepers at once, until it is decided or the time is over."""
         asked = {
             self._start(self._ask(keeper_id, request)): keeper_id
-            for keeper_id in ballot.asked_ids
+            for keeper_id in ballot.unasked_ids()
         }
         pending = set(asked)
         while pending and not ballot.is_decided():
-            left_s = end_s - loop.time()
-            if left_s <= 0:
+            left_ms = end_ms - self._clock.now_ms()
+            if left_ms <= 0:
                 return
             finished, pending = await asyncio.wait(
-                pending, timeout=left_s, return_when=asyncio.FIRST_COMPLETED
+                pending, timeout=left_ms / MS_PER_S, return_when=asyncio.FIRST_COMPLETED
             )
             for task in finished:
                 ballot.count(asked[task], task.result())
--- a/tests/test_thin_path.py
+++ b/tests/test_thin_path.py
@@ -78,11 +78,11 @@
                 *(confirm(entry, number) for entry in group.names("entry"))
             )
             statuses = sorted(answer.status for answer in answers)
-            assert statuses.count(200) <= 1, statuses
+            assert statuses.count(200) == 1, statuses
         executions = await caller.request(backend, "GET", "/.backend/executions")
         counts = json.loads(executions.body)
         assert set(counts.values()) == {1}
-        assert len(counts) >= 10
+        assert len(counts) == 21
         caller.close()
 
     asyncio.run(scenario())
