Let handlers finish when a link breaks; test the send queue's bound

Cause: a handler was cancelled in mid-operation when its link broke; the classes did not match the shared protocols for mypy (the type of `store`). Ruled out: none. Change: handlers run to their end; Store and Fleet subclass the protocols; a test for a peer that does not read.

--- a/packages/cardamomrun-fleet/src/cardamomrun_fleet/fleet.py
+++ b/packages/cardamomrun-fleet/src/cardamomrun_fleet/fleet.py
@@ -11,6 +11,7 @@
 from websockets.asyncio.server import Server
 from websockets.exceptions import WebSocketException
 
+from cardamomrun_base import interfaces
 from cardamomrun_base.clock import MS_PER_S, Clock
 from cardamomrun_base.codec import CodecError
 from cardamomrun_base.errors import (
@@ -20,6 +21,7 @@
     PeerUnreachableError,
     UnavailableError,
 )
+from cardamomrun_base.interfaces import RecordStore
 from cardamomrun_base.logs import PartLog
 from cardamomrun_base.model import InstanceId, MemberBody, MemberPhase
 from cardamomrun_base.settings import NodeSettings
@@ -79,14 +81,15 @@
 Handler = Callable[[InstanceId, Any], Awaitable[Any]]
 
 
-class Fleet:
+class Fleet(interfaces.Fleet):
     """Peer links and membership (`cardamomrun_base.interfaces.Fleet`)."""
 
     def __init__(self, settings: NodeSettings, clock: Clock) -> None:
         self.instance_id = settings.instance_id
-        self.store = Store(clock)
+        self._store = Store(clock)
+        self.store: RecordStore = self._store
         self.traffic = TrafficCounters()
-        self.membership = Membership(settings, clock, self.store)
+        self.membership = Membership(settings, clock, self._store)
         self._settings = settings
         self._clock = clock
         self._random = random.Random(f"{settings.instance_id}/{clock.wall_ms()}")
@@ -110,7 +113,7 @@
         self._changed = asyncio.Event()
         self._wanted_basis: Any = None
         self._stopping = False
-        self.store.watch(self._record_won)
+        self._store.watch(self._record_won)
 
     @property
     def incarnation(self) -> int:
@@ -275,19 +278,19 @@
     async def _answer(self, link: Link, message: Any) -> Any:
         match message:
             case SnapshotRequest():
-                return await self._stream(link, self.store.everything())
+                return await self._stream(link, self._store.everything())
             case DigestsRequest(root):
-                equal = root == self.store.root_digest()
-                return Digests(b"" if equal else self.store.bucket_digests())
+                equal = root == self._store.root_digest()
+                return Digests(b"" if equal else self._store.bucket_digests())
             case Fingerprints(buckets, fingerprints):
-                extra, wanted = self.store.compare(buckets, fingerprints)
+                extra, wanted = self._store.compare(buckets, fingerprints)
                 await self._stream(link, extra)
                 return Wanted(wanted)
         return await self._handlers[type(message)](link.peer_id, message)
 
     def _take(self, link: Link, message: Any) -> None:
         if isinstance(message, RecordBatch):
-            merge_batch(self.store, message, link.peer_id)
+            merge_batch(self._store, message, link.peer_id)
 
     async def _stream(self, link: Link, held: list[HeldRecord]) -> None:
         for batch in batches(held, self._clock.now_ms()):
@@ -352,10 +355,10 @@
                     await self._exchange(link)
 
     async def _exchange(self, link: Link) -> None:
-        start = DigestsRequest(self.store.root_digest())
+        start = DigestsRequest(self._store.root_digest())
         digests = await link.request(start, timeout_ms=EXCHANGE_TIMEOUT_MS)
         if digests.buckets:
-            differing = self.store.differing_buckets(digests.buckets)
+            differing = self._store.differing_buckets(digests.buckets)
             self._random.shuffle(differing)
             await self._exchange_buckets(link, bytes(differing[:EXCHANGE_BUCKET_COUNT]))
         self._synced_ms = self._clock.now_ms()
@@ -363,9 +366,9 @@
     async def _exchange_buckets(self, link: Link, buckets: bytes) -> None:
         if not buckets:
             return
-        own = Fingerprints(buckets, self.store.fingerprints(buckets))
+        own = Fingerprints(buckets, self._store.fingerprints(buckets))
         wanted = await link.request(own, timeout_ms=EXCHANGE_TIMEOUT_MS)
-        held = self.store.with_fingerprints(buckets, wanted.fingerprints)
+        held = self._store.with_fingerprints(buckets, wanted.fingerprints)
         await self._stream(link, held)
 
     # Links
--- a/packages/cardamomrun-fleet/src/cardamomrun_fleet/links.py
+++ b/packages/cardamomrun-fleet/src/cardamomrun_fleet/links.py
@@ -335,6 +335,7 @@
             self.abort()
 
     def _end(self) -> None:
+        # Running handlers go on: a link that breaks must not leave a change half made.
         self.closed = True
         self._queue.clear()
         self._queue_bytes = 0
@@ -343,8 +344,6 @@
         for future in self._pending.values():
             if not future.done():
                 future.set_exception(_timed_out(self.peer_id, "the link closed"))
-        for task in self._handlers:
-            task.cancel()
 
 
 def _unreachable(peer_id: InstanceId) -> PeerUnreachableError:
--- a/packages/cardamomrun-fleet/src/cardamomrun_fleet/store.py
+++ b/packages/cardamomrun-fleet/src/cardamomrun_fleet/store.py
@@ -10,6 +10,7 @@
 
 from cardamomrun_base.clock import Clock
 from cardamomrun_base.codec import encode
+from cardamomrun_base.interfaces import RecordStore
 from cardamomrun_base.logs import PartLog
 from cardamomrun_base.model import Kind, MemberPhase, Record
 
@@ -64,7 +65,7 @@
     until_ms: float
 
 
-class Store:
+class Store(RecordStore):
     """Replicated records of one instance (`cardamomrun_base.interfaces.RecordStore`).
 
     Of two records of one key the higher version wins; equal versions are settled by
--- a/packages/cardamomrun-fleet/tests/builders.py
+++ b/packages/cardamomrun-fleet/tests/builders.py
@@ -112,6 +112,22 @@
         return await super()._connect(self.relays.get(address, address), purpose)
 
 
+@contextlib.asynccontextmanager
+async def relays_between(one, two):
+    """Lead both directions of opening between two fleets through relays."""
+    relays = []
+    for opener, listener in ((one, two), (two, one)):
+        address = listener._settings.peer_address
+        relay = Relay(address)
+        relays.append(relay)
+        opener.relays[address] = await relay.start()
+    for link in list(one._links[two.instance_id]):
+        link.abort()
+    yield relays
+    for relay in relays:
+        relay.close()
+
+
 class Relay:
     """Passes bytes between an opener and one address; can drop either direction."""
 
--- a/packages/cardamomrun-fleet/tests/test_fleet.py
+++ b/packages/cardamomrun-fleet/tests/test_fleet.py
@@ -13,11 +13,11 @@
 
 from .builders import (
     CuttableFleet,
-    Relay,
     crash,
     crash_process,
     member_ids,
     node_settings,
+    relays_between,
     running,
     until,
 )
@@ -134,73 +134,56 @@
 def test_a_one_way_cut_makes_neither_side_failed(tmp_path):
     """Guards against a single bad path that removes healthy instances."""
 
-    async def check():
-        relays = []
+    async def check(fleets, relays):
+        one, two = fleets[:2]
+        await until(lambda: "n1" in one.linked_peers(), "linked by a relay")
+        # Bytes from n0 to n1 are dropped, whoever opened the connection.
+        relays[0].forward = relays[1].backward = False
+        failed = []
+        for fleet in fleets:
+            fleet.membership._take_as_failed = lambda *args: failed.append(args)
+        before = one.incarnation, two.incarnation
+        await until(lambda: one.incarnation > before[0], "n0 refuted a suspicion")
+        await until(lambda: two.incarnation > before[1], "n1 refuted a suspicion")
+        end_ms = one._clock.now_ms() + 4 * one._settings.fleet.suspicion_ms
+        await until(lambda: one._clock.now_ms() > end_ms, "four suspicion times")
+        assert failed == []
+        one.store.put(crash("through-others"))
+        await until(lambda: holds(two, "through-others"), "others pass it on")
+        relays[0].forward = relays[1].backward = True
+        await until(lambda: "n1" in one.linked_peers(), "linked again")
+
+    async def run():
         async with running(tmp_path, 4, fleet_class=CuttableFleet) as fleets:
-            one, two = fleets[:2]
-            for opener, listener in ((one, two), (two, one)):
-                address = listener._settings.peer_address
-                relay = Relay(address)
-                relays.append(relay)
-                opener.relays[address] = await relay.start()
-            for link in list(one._links["n1"]):
-                link.abort()
-            await until(lambda: "n1" in one.linked_peers(), "relinked by a relay")
-            # Bytes from n0 to n1 are dropped, whoever opened the connection.
-            relays[0].forward = relays[1].backward = False
-            failed = []
-            for fleet in fleets:
-                fleet.membership._take_as_failed = lambda *args: failed.append(args)
-            incarnations = one.incarnation, two.incarnation
-            await until(
-                lambda: (
-                    one.incarnation > incarnations[0]
-                    and two.incarnation > incarnations[1]
-                ),
-                "both sides refuted a suspicion",
-            )
-            end_ms = one._clock.now_ms() + 4 * one._settings.fleet.suspicion_ms
-            await until(lambda: one._clock.now_ms() > end_ms, "four suspicion times")
-            assert failed == []
-            one.store.put(crash("through-others"))
-            await until(lambda: holds(two, "through-others"), "others pass it on")
-            for relay in relays:
-                relay.forward = relay.backward = True
-            await until(lambda: "n1" in one.linked_peers(), "linked again")
-            for relay in relays:
-                relay.close()
+            async with relays_between(*fleets[:2]) as relays:
+                await check(fleets, relays)
 
-    asyncio.run(check())
+    asyncio.run(run())
 
 
 def test_an_old_record_never_replaces_a_new_one_after_reconnecting(tmp_path):
     """Guards against a peer with old state that reverts the fleet."""
 
-    async def check():
-        relays = []
+    async def check(one, two, relays):
+        for relay in relays:
+            relay.forward = relay.backward = False
+        await until(lambda: not two.linked_peers(), "cut")
+        two.store.put(crash(version=(0, 1), text="old"))
+        one.store.put(crash(version=(0, 2), text="new"))
+        seen = []
+        one.store.subscribe(Kind.CRASH, seen.append)
+        two.store.subscribe(Kind.CRASH, seen.append)
+        await until(two.may_be_behind, "n1 knows that it may be behind")
+        for relay in relays:
+            relay.forward = relay.backward = True
+        await until(lambda: holds(two, "k", "new"), "the new record", 15)
+        await until(lambda: not two.may_be_behind(), "n1 is current")
+        assert holds(one, "k", "new")
+        assert [record.content.fingerprint for record in seen] == ["new"]
+
+    async def run():
         async with running(tmp_path, 2, fleet_class=CuttableFleet) as (one, two):
-            for opener, listener in ((one, two), (two, one)):
-                address = listener._settings.peer_address
-                relay = Relay(address)
-                relays.append(relay)
-                opener.relays[address] = await relay.start()
-                relay.forward = relay.backward = False
-            for link in list(one._links["n1"]):
-                link.abort()
-            await until(lambda: not two.linked_peers(), "cut")
-            two.store.put(crash(version=(0, 1), text="old"))
-            one.store.put(crash(version=(0, 2), text="new"))
-            seen = []
-            one.store.subscribe(Kind.CRASH, seen.append)
-            two.store.subscribe(Kind.CRASH, seen.append)
-            await until(two.may_be_behind, "n1 knows that it may be behind")
-            for relay in relays:
-                relay.forward = relay.backward = True
-            await until(lambda: holds(two, "k", "new"), "the new record", 15)
-            await until(lambda: not two.may_be_behind(), "n1 is current")
-            assert holds(one, "k", "new")
-            assert [record.content.fingerprint for record in seen] == ["new"]
-            for relay in relays:
-                relay.close()
+            async with relays_between(one, two) as relays:
+                await check(one, two, relays)
 
-    asyncio.run(check())
+    asyncio.run(run())
--- /dev/null
+++ b/packages/cardamomrun-fleet/tests/test_links.py
@@ -0,0 +1,35 @@
+"""Bounds of one link."""
+
+import asyncio
+from types import SimpleNamespace
+
+from cardamomrun_base.clock import ManualClock
+from cardamomrun_base.messages import Settled
+from cardamomrun_fleet.exchange import RecordBatch
+from cardamomrun_fleet.links import SEND_QUEUE_BYTES, Link, Purpose, TrafficCounters
+
+
+def test_a_peer_that_does_not_read_is_disconnected():
+    """Guards against a slow peer whose messages fill the memory."""
+    aborted = []
+    connection = SimpleNamespace(
+        transport=SimpleNamespace(abort=lambda: aborted.append(True))
+    )
+    counters = TrafficCounters()
+    link = Link(
+        connection,
+        "peer",
+        1,
+        outbound=True,
+        purpose=Purpose.OVERLAY,
+        clock=ManualClock(),
+        counters=counters,
+    )
+    large = RecordBatch(((bytes(SEND_QUEUE_BYTES), 0),))
+    assert link.send(large), "one message may exceed the limit alone"
+    assert not link.send(Settled())
+    assert link.closed
+    assert aborted
+    assert counters.slow_peer_count == 1
+    assert not link.send(Settled())
+    assert not asyncio.run(link.stream(Settled())), "a waiting sender must not hang"
