Give each test process a loopback address of its own

Cause: test runs side by side took each other's ports (6 of 8 runs failed with address-in-use when 4 ran at a time). Ruled out: ephemeral ports, which outgoing connections take between the choice of a port and its use. Change: the tests' fleets listen on 127.x.y.z derived from the process id.

--- a/packages/cardamomrun-fleet/tests/builders.py
+++ b/packages/cardamomrun-fleet/tests/builders.py
@@ -4,7 +4,6 @@
 import contextlib
 import itertools
 import os
-import socket
 import time
 
 from cardamomrun_base.clock import SystemClock
@@ -18,17 +17,12 @@
     return Record.of(Kind.CRASH, key, "e1", version, body, lifetime_ms)
 
 
-# Below the range from which the system takes ports for outgoing connections, which
-# could otherwise occupy the port of a fleet that is about to start.
-_ports = itertools.count(20_000 + os.getpid() % 1_000 * 10)
-
-
-def free_port():
-    for port in _ports:
-        with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind(("127.0.0.1", port))
-            return port
-    raise AssertionError
+# Each test process has a loopback address of its own, and the ports lie below the range
+# from which the system takes ports for outgoing connections. Either could otherwise
+# occupy the port of a fleet that is about to start.
+_pid = os.getpid()
+HOST = f"127.{1 + _pid // 62_500 % 254}.{_pid // 250 % 250}.{_pid % 250 + 1}"
+_ports = itertools.count(20_000)
 
 
 def node_settings(tmp_path, name, *, seeds=(), domain="kelowna-a", key=b"k" * 32):
@@ -47,10 +41,10 @@
         region="bc-interior",
         failure_domain=domain,
         roles=(Role.ENTRY,),
-        host="127.0.0.1",
+        host=HOST,
         front_port=1,
         admin_port=2,
-        peer_port=free_port(),
+        peer_port=next(_ports),
         fleet=fleet,
         announcement_tokens_file=tmp_path / "tokens",
     )
--- a/packages/cardamomrun-fleet/tests/test_fleet.py
+++ b/packages/cardamomrun-fleet/tests/test_fleet.py
@@ -1,4 +1,4 @@
-"""Real fleets in one process on 127.0.0.1."""
+"""Real fleets in one process on a loopback address."""
 
 import asyncio
 from dataclasses import dataclass
