Say when a peer refuses this instance's proof

Cause: a node with a wrong key only logged that no peer answered. Ruled out: none. Change: the refusal of the listening side becomes a CredentialError with its remedy and is logged at each attempt. Conclusion: an operator sees which key to correct.

--- a/packages/cardamomrun-fleet/src/cardamomrun_fleet/fleet.py
+++ b/packages/cardamomrun-fleet/src/cardamomrun_fleet/fleet.py
@@ -543,6 +543,8 @@
             back_off_ms = min(2 * back_off_ms, BACK_OFF_MAX_MS)
 
     def _dial_failed(self, address: str, error: Exception) -> None:
+        if isinstance(error, CredentialError):
+            log.warning(f"link cannot be opened: {error}", address=address)
         peer_id = self._wanted.get(address, "")
         if peer_id and self.membership.is_alive(peer_id):
             if peer_id not in self._lost_ms:
--- a/packages/cardamomrun-fleet/src/cardamomrun_fleet/links.py
+++ b/packages/cardamomrun-fleet/src/cardamomrun_fleet/links.py
@@ -14,11 +14,15 @@
 from websockets.asyncio.client import connect
 from websockets.asyncio.connection import Connection
 from websockets.asyncio.server import Server, serve
-from websockets.exceptions import WebSocketException
+from websockets.exceptions import ConnectionClosed, WebSocketException
 
 from cardamomrun_base.clock import MS_PER_S, Clock
 from cardamomrun_base.codec import CodecError, decode, encode, message
-from cardamomrun_base.errors import PeerTimeoutError, PeerUnreachableError
+from cardamomrun_base.errors import (
+    CredentialError,
+    PeerTimeoutError,
+    PeerUnreachableError,
+)
 from cardamomrun_base.logs import PartLog
 from cardamomrun_base.messages import Settled
 from cardamomrun_base.model import InstanceId
@@ -398,8 +402,8 @@
 ) -> tuple[Connection, Challenge]:
     """Open and authenticate a connection.
 
-    Raises `OSError`, `TimeoutError`, `WebSocketException`, `CodecError` or
-    `PeerRefusedError`.
+    Raises `OSError`, `TimeoutError`, `WebSocketException`, `CodecError`, or
+    `CredentialError` if either side refuses the other.
     """
     scheme = "wss" if settings.tls else "ws"
     async with asyncio.timeout(OPEN_TIMEOUT_MS / MS_PER_S):
@@ -413,12 +417,24 @@
             challenge = await _authenticate_listener(
                 connection, credentials, settings.instance_id, incarnation
             )
+        except ConnectionClosed as error:
+            raise _closed_by_listener(address, error) from error
         except BaseException:
             connection.transport.abort()
             raise
     return connection, challenge
 
 
+def _closed_by_listener(address: str, error: ConnectionClosed) -> Exception:
+    close = error.rcvd
+    if close is None or close.code != CLOSE_REFUSED or close.reason not in set(Refusal):
+        return error
+    return CredentialError(
+        f"peer {address} refused this instance: the proof is {close.reason}.",
+        remedy="install the same fleet key on all instances",
+    )
+
+
 def _options(settings: NodeSettings, purpose: Purpose) -> dict[str, Any]:
     fleet = settings.fleet
     overlay = purpose is Purpose.OVERLAY
--- a/packages/cardamomrun-fleet/tests/test_fleet.py
+++ b/packages/cardamomrun-fleet/tests/test_fleet.py
@@ -7,9 +7,14 @@
 
 from cardamomrun_base.clock import SystemClock
 from cardamomrun_base.codec import message
-from cardamomrun_base.errors import PeerTimeoutError, PeerUnreachableError
+from cardamomrun_base.errors import (
+    CredentialError,
+    PeerTimeoutError,
+    PeerUnreachableError,
+)
 from cardamomrun_base.model import Kind
 from cardamomrun_fleet import Fleet
+from cardamomrun_fleet.links import Purpose
 
 from .builders import (
     CuttableFleet,
@@ -99,6 +104,8 @@
             try:
                 assert stranger.may_be_behind()
                 assert one.refusal_counts["wrong"] >= 1
+                with pytest.raises(CredentialError, match="refused this instance"):
+                    await stranger._connect(seeds[0], Purpose.OVERLAY)
                 assert member_ids(one) == {"n0", "n1"}
             finally:
                 await stranger.stop()
