--- a/packages/cardamomrun-backends/tests/test_selection.py
+++ b/packages/cardamomrun-backends/tests/test_selection.py
@@ -18,7 +18,7 @@
     names = [f"entry-{i}" for i in range(instances)]
     bodies = servers(count)
     domain = {body.server_id: body.failure_domain for body in bodies}
-    uses = Counter()
+    uses: Counter[str] = Counter()
     for name in names:
         chosen = subset(name, names, bodies, 12)
         assert len(chosen) == 12
@@ -86,6 +86,25 @@
     assert "b0" in instance.view().healthy
 
 
+@pytest.mark.parametrize("result", [AttemptResult.GOOD, AttemptResult.FAILED])
+def test_late_results_do_not_change_an_avoidance(result):
+    # Guards against requests sent before an avoidance that end or lengthen it.
+    instance = Instance(servers(10))
+    late = [instance.backends.started(server("b0")) for _ in range(3)]
+    instance.clock.advance_ms(1)
+    for _ in range(3):
+        instance.attempt(server("b0"), AttemptResult.FAILED)
+    for attempt in late:
+        instance.backends.finished(attempt, result)
+    instance.clock.advance_ms(4_999)
+    assert instance.view().avoided == ("b0",)
+    instance.clock.advance_ms(1)
+    assert instance.view().avoided == ()
+    instance.attempt(server("b0"), AttemptResult.FAILED)
+    instance.clock.advance_ms(9_999)
+    assert instance.view().avoided == ("b0",)
+
+
 def test_success_between_failures_prevents_avoidance():
     # Guards against avoidance of a server that fails now and then.
     instance = Instance(servers(10))
@@ -103,7 +122,9 @@
     instance.clock.advance_ms(20_000)
     publish(instance.store, server("b0", incarnation=2))
     assert "b0" in instance.view().healthy
+    instance.backends.evidence.take()
     instance.backends.finished(before, AttemptResult.FAILED)
+    assert instance.backends.evidence.take() == ()
     cold = Counter(instance.choose().server_id for _ in range(2_000))["b0"]
     instance.clock.advance_ms(10_000)
     warm = Counter(instance.choose().server_id for _ in range(2_000))["b0"]
@@ -139,3 +160,6 @@
     assert len(chosen) == 12
     other = instance.backends.choose(ENVIRONMENT, exclude=frozenset(chosen))
     assert other.server_id not in chosen
+    for server_id in chosen:
+        instance.attempt(server(server_id), AttemptResult.SHED, retry_after_s=9)
+    assert not instance.chosen() & chosen
