Audit all refused attempts and survive failed peer requests

Cause: malformed requests and refused changes of voters with a right token left no audit entry, and an unexpected error of a peer request ended the leader's task for that follower. Ruled out: auditing requests with a wrong token (the operator is not known; they are counted and logged). Change: handlers that change state put their own refusals into the log before they answer; a leader whose task failed stops leading; GET /v1/control names a failed data folder. Conclusion: done.

--- a/packages/cardamomrun-control/src/cardamomrun_control/agreement.py
+++ b/packages/cardamomrun-control/src/cardamomrun_control/agreement.py
@@ -18,6 +18,7 @@
 from cardamomrun_base.clock import Clock
 from cardamomrun_base.codec import CodecError, decode, encode, message
 from cardamomrun_base.errors import (
+    CardamomrunError,
     ConflictError,
     NotLeaderError,
     PeerTimeoutError,
@@ -93,6 +94,7 @@
     """The agreement as this instance sees it.
 
     `may_lose_one` and `may_change_voters` are None on an instance that does not lead.
+    `failure` says why the data folder is out of use; the instance takes no part then.
     """
 
     role: str
@@ -104,6 +106,7 @@
     voters: tuple[VoterStatus, ...]
     may_lose_one: bool | None
     may_change_voters: bool | None
+    failure: str | None
 
 
 @dataclass
@@ -257,7 +260,9 @@
         if isinstance(error, StorageError):
             self._fail(error)
         elif error is not None:
+            # Without one of its tasks a leader may starve a follower unnoticed.
             _log.error(f"a task ended with {error!r}")
+            self._stop_leading("one of its tasks failed")
 
     def _fail(self, error: StorageError) -> None:
         """Take no further part if the log refuses writes.
@@ -916,7 +921,7 @@
             return await self._fleet.request(
                 instance_id, request, timeout_ms=timeout_ms
             )
-        except UnavailableError:
+        except CardamomrunError:
             return None
 
     # Proposals and reads
@@ -1124,6 +1129,7 @@
             voters,
             may_lose_one,
             may_change,
+            None if self._failure is None else str(self._failure),
         )
 
     def _voter_status(self, voter: VoterEntry) -> VoterStatus:
--- a/packages/cardamomrun-control/src/cardamomrun_control/operator_api.py
+++ b/packages/cardamomrun-control/src/cardamomrun_control/operator_api.py
@@ -8,10 +8,13 @@
 import base64
 import binascii
 import json
+from collections.abc import Awaitable, Callable
 from dataclasses import asdict, dataclass
+from functools import wraps
 from typing import Any
 
 from prometheus_client import Counter
+from pydantic import TypeAdapter, ValidationError
 from tornado.web import RequestHandler, URLSpec
 
 from cardamomrun_base.clock import Clock
@@ -27,6 +30,7 @@
 )
 from cardamomrun_base.logs import PartLog
 from cardamomrun_base.model import Stage, environment_id
+from cardamomrun_base.settings import Voter
 from cardamomrun_control.agreement import Agreement
 from cardamomrun_control.errors import UnknownEndError
 from cardamomrun_control.state import (
@@ -45,6 +49,10 @@
 SERVICE = r"(?P<service>[a-z0-9][a-z0-9.-]{0,62})"
 STAGE = r"(?P<stage>trial|production)"
 AUDIT_PAGE_COUNT = 1_000
+# Bounds what a refused attempt adds to the audit trail.
+OUTCOME_LENGTH = 500
+
+Post = Callable[..., Awaitable[None]]
 
 # The first match wins, so a class comes before its base.
 STATUS_BY_ERROR = (
@@ -64,6 +72,7 @@
     "unknown-version": "choose a version of the history, with a new change number",
 }
 
+_voter_adapter = TypeAdapter(Voter)
 _refusals = Counter(
     "cardamomrun_operator_refusals", "Requests of operators refused for their token"
 )
@@ -115,6 +124,7 @@
     def initialize(self, context: OperatorContext) -> None:
         self.context = context
         self.operator = ""
+        self.digest = ""
 
     def prepare(self) -> None:
         if self.context.tokens is None:
@@ -150,12 +160,14 @@
         if not isinstance(value, CardamomrunError):
             super().log_exception(typ, value, tb)
 
+    def body_has(self, name: str) -> bool:
+        """Return True if the JSON body is an object with this field."""
+        body = _parsed(self.request.body)
+        return isinstance(body, dict) and name in body
+
     def fields(self, **types: type) -> Any:
         """Return the fields of the JSON body; all are required."""
-        try:
-            body = json.loads(self.request.body)
-        except ValueError:
-            body = None
+        body = _parsed(self.request.body)
         if not isinstance(body, dict) or set(body) != set(types):
             raise _bad_request(f"the body must have the fields {', '.join(types)}")
         for name, kind in types.items():
@@ -168,7 +180,7 @@
     async def answer_change(self, command: Any) -> None:
         """Propose a change and answer with its result."""
         result: ChangeResult = await self.context.agreement.propose(command)
-        body = {
+        body: dict[str, Any] = {
             "environment": result.environment,
             "change_number": command.change_number,
         }
@@ -185,18 +197,57 @@
             }
         self.finish(body)
 
+    async def note_refusal(
+        self, action: str, service: str, stage: str, error: CardamomrunError
+    ) -> None:
+        """Put a refused attempt into the audit trail before it is answered."""
+        command = RefusedAttempt(
+            self.operator,
+            self.context.clock.wall_ms(),
+            environment_id(service, stage) if service else "control",
+            action,
+            self.digest,
+            f"{error.kind}: {error.message}"[:OUTCOME_LENGTH],
+        )
+        await self.context.agreement.propose(command)
+
+
+def audited(action: str, fixed_stage: str = "") -> Callable[[Post], Post]:
+    """Put attempts that a handler refuses itself into the audit trail.
+
+    Refusals of the state machine are audited when the command is applied.
+    """
+
+    def decorate(post: Post) -> Post:
+        @wraps(post)
+        async def audited_post(
+            self: Any, service: str = "", stage: str = fixed_stage
+        ) -> None:
+            path = {"service": service, "stage": stage}
+            if fixed_stage or not service:
+                del path["stage"]
+            if not service:
+                del path["service"]
+            try:
+                await post(self, **path)
+            except (BadRequestError, DocumentError, ConflictError) as error:
+                await self.note_refusal(action, service, stage, error)
+                raise
+
+        return audited_post
+
+    return decorate
+
 
 class ApplyHandler(OperatorHandler):
     """Puts a document in force in the trial stage."""
 
+    @audited("apply", Stage.TRIAL)
     async def post(self, service: str) -> None:
         body = self.fields(document=str, change_number=int, expected_version=int)
         document = _decoded(body["document"])
-        try:
-            _check_document(document, service)
-        except DocumentError as error:
-            await self._note_refusal(service, document, error)
-            raise
+        self.digest = document_digest(document)
+        _check_document(document, service)
         command = ApplyDocument(
             self.operator,
             body["change_number"],
@@ -207,24 +258,11 @@
         )
         await self.answer_change(command)
 
-    async def _note_refusal(
-        self, service: str, document: bytes, error: DocumentError
-    ) -> None:
-        """Put the refused attempt into the audit trail before it is answered."""
-        command = RefusedAttempt(
-            self.operator,
-            self.context.clock.wall_ms(),
-            environment_id(service, Stage.TRIAL),
-            "apply",
-            document_digest(document),
-            f"document: {error.message}"[:500],
-        )
-        await self.context.agreement.propose(command)
-
 
 class PromoteHandler(OperatorHandler):
     """Copies the trial's document to production."""
 
+    @audited("promote", Stage.PRODUCTION)
     async def post(self, service: str) -> None:
         body = self.fields(digest=str, change_number=int, expected_version=int)
         command = PromoteDocument(
@@ -241,6 +279,7 @@
 class RollBackHandler(OperatorHandler):
     """Puts the bytes of an earlier version in force again."""
 
+    @audited("rollback")
     async def post(self, service: str, stage: str) -> None:
         body = self.fields(to_version=int, change_number=int, expected_version=int)
         command = RollBackDocument(
@@ -312,12 +351,14 @@
 class VotersHandler(OperatorHandler):
     """Adds or removes one voter."""
 
+    @audited("change voters")
     async def post(self) -> None:
         agreement = self.context.agreement
-        if b'"add"' in self.request.body:
+        if self.body_has("add"):
             body = self.fields(add=str, peer_address=str)
+            voter = _checked_voter(body["add"], body["peer_address"])
             voters = await agreement.add_voter(
-                self.operator, body["add"], body["peer_address"]
+                self.operator, voter.instance_id, voter.peer_address
             )
         else:
             body = self.fields(remove=str)
@@ -325,6 +366,24 @@
         self.finish({"voters": [asdict(entry) for entry in voters.entries]})
 
 
+def _parsed(data: bytes) -> Any:
+    try:
+        return json.loads(data)
+    except ValueError:
+        return None
+
+
+def _checked_voter(instance_id: str, peer_address: str) -> Voter:
+    try:
+        return _voter_adapter.validate_python(
+            {"instance_id": instance_id, "peer_address": peer_address}
+        )
+    except ValidationError as error:
+        raise _bad_request(
+            "add must be an instance id and peer_address host:port"
+        ) from error
+
+
 def _status_of(error: CardamomrunError) -> int:
     if isinstance(error, BadRequestError):
         return 400
--- a/packages/cardamomrun-control/tests/test_service.py
+++ b/packages/cardamomrun-control/tests/test_service.py
@@ -125,7 +125,7 @@
         assert (answer[0], answer[1]["error"]) == (status, error)
         assert answer[1]["message"] and answer[1]["remedy"]
         audit = (await node.call("/v1/audit"))[1]["entries"]
-        audited = status in (409, 422) and path.startswith(BASE)
+        audited = body is not None
         assert any(e["operator"] == "alice" for e in audit) == audited
 
 
