--- a/packages/cardamomrun-control/src/cardamomrun_control/agreement.py
+++ b/packages/cardamomrun-control/src/cardamomrun_control/agreement.py
@@ -347,7 +347,14 @@
             elif due_ms > 0:
                 await self._clock.sleep_ms(due_ms)
             else:
-                await self._seek_election()
+                await self._try_election()
+
+    async def _try_election(self) -> None:
+        try:
+            await self._seek_election()
+        except StorageError as error:
+            self._fail(error)
+            self._stop_leading("the data folder refused a write")
 
     async def _seek_election(self) -> None:
         heard_ms = self._heard_ms
@@ -778,8 +785,9 @@
     # Following
 
     def _check_working(self) -> None:
-        if self._failure is not None:
-            raise self._failure
+        failure = self._failure or self._durable.failure
+        if failure is not None:
+            raise failure
 
     async def _follow(self, peer_id: str, envelope: Envelope) -> bool:
         """Accept the sender as leader of its term; False if the term is over."""
--- a/packages/cardamomrun-control/src/cardamomrun_control/storage.py
+++ b/packages/cardamomrun-control/src/cardamomrun_control/storage.py
@@ -82,6 +82,14 @@
 NO_SNAPSHOT = Snapshot(0, 0, b"", b"")
 
 
+class _NotReplacedError(Exception):
+    """A file was not replaced; the old one is as it was."""
+
+    def __init__(self, error: OSError) -> None:
+        super().__init__(str(error))
+        self.error = error
+
+
 class Disk:
     """File operations of the log, in one place so that tests can make them fail.
 
@@ -186,6 +194,9 @@
         except OSError as error:
             self._release()
             raise self._os_error(self.folder, error) from error
+        except _NotReplacedError as error:
+            self._release()
+            raise self._os_error(self.folder, error.error) from error
         except StorageError:
             self._release()
             raise
@@ -196,8 +207,12 @@
         await self._disk.run(self.open)
 
     def close(self) -> None:
-        """Wait for running writes and give the folder back."""
+        """Wait for running writes, refuse further ones and give the folder back."""
         self._disk.close()
+        # A late message must not write to a descriptor that belongs to another file.
+        self._failure = self._failure or StorageError(
+            f"{self.folder}: the log is closed.", remedy="start the instance again"
+        )
         self._release()
 
     def _release(self) -> None:
@@ -454,13 +469,18 @@
             self._sync_folder()
 
     async def _guarded(self, function: Callable[[], None]) -> None:
-        """Run file operations on the thread; after a failure refuse all writes."""
+        """Run file operations on the thread.
+
+        After a failure that may have left something half done, refuse all writes.
+        """
         self._check_usable()
         try:
             await self._disk.run(function)
         except OSError as error:
             self._failure = self._os_error(self.folder, error)
             raise self._failure from error
+        except _NotReplacedError as error:
+            raise self._os_error(self.folder, error.error) from error
 
     def _check_usable(self) -> None:
         if self._failure is not None:
@@ -469,14 +489,22 @@
     def _replace(self, name: str, content: Any) -> None:
         """Write a file beside, sync it, rename it, and sync the folder."""
         path = self.folder / f"{name}.new"
+        try:
+            self._write_new(path, _record(content))
+        except OSError as error:
+            with suppress(OSError):
+                path.unlink(missing_ok=True)
+            raise _NotReplacedError(error) from error
+        path.replace(self.folder / name)
+        self._sync_folder()
+
+    def _write_new(self, path: Path, data: bytes) -> None:
         descriptor = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
         try:
-            self._write_all(descriptor, _record(content))
+            self._write_all(descriptor, data)
             self._disk.sync(descriptor)
         finally:
             os.close(descriptor)
-        path.replace(self.folder / name)
-        self._sync_folder()
 
     def _sync_folder(self) -> None:
         descriptor = os.open(self.folder, os.O_RDONLY)
@@ -525,7 +553,7 @@
     def _os_error(self, path: Path, error: OSError) -> StorageError:
         remedy = "check the disk, then start the instance again"
         if error.errno in (errno.ENOSPC, errno.EDQUOT, errno.EFBIG):
-            remedy = "free space on the disk, then start the instance again"
+            remedy = "free space on the disk, then try again"
         if error.errno in (errno.EROFS, errno.EACCES, errno.EPERM):
             remedy = "make the data folder writable for the user of the process"
         return StorageError(f"{path}: {error.strerror or error}.", remedy=remedy)
--- a/packages/cardamomrun-control/tests/builders.py
+++ b/packages/cardamomrun-control/tests/builders.py
@@ -136,13 +136,11 @@
 class FakeStore:
     def __init__(self):
         self.records = {}
-        self.puts = []
 
     def get(self, kind, key):
         return self.records.get((kind, key))
 
     def put(self, record):
-        self.puts.append(record)
         held = self.get(record.kind, record.key)
         if held is not None and held.version >= record.version:
             return False
@@ -198,14 +196,13 @@
         self.store = FakeStore()
         self.handlers = {}
         self.member_list = []
-        self.addresses = {}
         network.fleets[name] = self
 
     def handle(self, message_type, handler):
         self.handlers[message_type] = handler
 
     def add_address(self, instance_id, peer_address):
-        self.addresses[instance_id] = peer_address
+        """Names are enough here."""
 
     def members(self):
         return self.member_list
--- a/packages/cardamomrun-control/tests/test_storage.py
+++ b/packages/cardamomrun-control/tests/test_storage.py
@@ -44,8 +44,9 @@
     start = path.stat().st_size
     filled(tmp_path / "whole")
     whole = next((tmp_path / "whole").glob("log-*.segment")).read_bytes()
-    for size in range(start, len(whole)):
-        path.write_bytes(whole[:size] + b"\x00" * (size % 3 if size == start else 0))
+    tails = [whole[start:size] for size in range(start, len(whole))]
+    for tail in [*tails, bytes(5), bytes(40)]:
+        path.write_bytes(whole[:start] + tail)
         assert reopened_indexes(tmp_path) == ([1, 2, 3, 4], Vote(3, "c2"))
     path.write_bytes(whole)
     assert reopened_indexes(tmp_path)[0] == [1, 2, 3, 4, 5]
@@ -127,6 +128,8 @@
         with pytest.raises(StorageError):
             run(log.append(entries(5, 5)))
     log.close()
+    with pytest.raises(StorageError):
+        log.write(entries(9, 9))
     # Whole entries that a failed append left in the file may be read again, since they
     # were acknowledged to nobody. Half an entry must not be.
     count = 4 if "sync" in fails else 3
@@ -143,6 +146,16 @@
     log = opened(tmp_path / "a")
     assert log.replica_id == first
     log.close()
+    disk = FaultyDisk()
+    log = opened(tmp_path / "b", disk)
+    disk.fails, disk.code = {"write"}, errno.EROFS
+    with pytest.raises(StorageError, match="Read-only"):
+        run(log.save_vote(Vote(1, "c1")))
+    with pytest.raises(StorageError, match="Read-only"):
+        opened(tmp_path / "c", disk)
+    disk.fails = set()
+    run(log.save_vote(Vote(1, "c1")))
+    log.close()
     for path in (tmp_path / "a").iterdir():
         path.unlink()
     log = opened(tmp_path / "a")
