Test a resend to the next leader over HTTP, log a cluster that cannot form

Cause: the answers 421 and 504 were tested with one instance only, and a new cluster that waits for an instance gave no sign of it. Ruled out: forming a new cluster from a majority of unbound votes (a majority that lost its folders could begin a second history). Change: add a test with three services on sockets; log once what a new cluster waits for.

--- a/packages/cardamomrun-control/src/cardamomrun_control/agreement.py
+++ b/packages/cardamomrun-control/src/cardamomrun_control/agreement.py
@@ -158,6 +158,7 @@
         self._snapshot_task: asyncio.Task | None = None
         self._learner_task: asyncio.Task | None = None
         self._failure: StorageError | None = None
+        self._logged_waiting = False
         self.on_commit: Callable[[], None] = lambda: None
 
     # Leadership
@@ -361,7 +362,10 @@
         self._election_due_ms = self._clock.now_ms() + (
             self._settings.election_timeout_ms * (0.5 + self._rng.random())
         )
-        if not self._has_vote() or not await self._collect_votes(is_trial=True):
+        if not self._has_vote():
+            return
+        if not await self._collect_votes(is_trial=True):
+            self._log_waiting()
             return
         async with self._lock:
             if self._heard_ms != heard_ms or self.is_leader:
@@ -375,6 +379,14 @@
             if won and self.term == term and self._role is Role.CANDIDATE:
                 await self._begin_leading(won)
 
+    def _log_waiting(self) -> None:
+        if self._is_new_cluster and not self._logged_waiting:
+            self._logged_waiting = True
+            _log.warning(
+                f"waits until all {len(self._counting())} voters in the settings can "
+                "be reached, which the first election of a cluster needs"
+            )
+
     async def _collect_votes(self, *, is_trial: bool) -> dict[str, str]:
         """Ask the other voters; return replica ids by voter if enough granted."""
         term = self.term + 1 if is_trial else self.term
--- a/packages/cardamomrun-control/src/cardamomrun_control/service.py
+++ b/packages/cardamomrun-control/src/cardamomrun_control/service.py
@@ -22,7 +22,8 @@
     """Composes log, state, agreement, publisher and the operators' interface.
 
     `start` raises `StorageError` if the data folder cannot be used and `SettingsError`
-    if the file of tokens is wrong.
+    if the file of tokens is wrong. A new cluster forms once all instances in
+    `settings.control.voters` are reachable; after that a majority is enough.
     """
 
     def __init__(self, settings: NodeSettings, clock: Clock, fleet: Fleet) -> None:
--- a/packages/cardamomrun-control/tests/builders.py
+++ b/packages/cardamomrun-control/tests/builders.py
@@ -11,6 +11,7 @@
 from cardamomrun_base.clock import Clock
 from cardamomrun_base.codec import decode, encode
 from cardamomrun_base.errors import PeerTimeoutError, PeerUnreachableError
+from cardamomrun_base.model import MemberBody, MemberPhase
 from cardamomrun_base.settings import (
     ControlSettings,
     FleetSettings,
@@ -133,6 +134,12 @@
     return (text % (service, deadline_ms)).encode()
 
 
+def member(name, phase=MemberPhase.SERVING, incarnation=1):
+    return MemberBody(
+        name, incarnation, "bc-interior", name, ("entry",), "", f"{name}:1", "", phase
+    )
+
+
 class FakeStore:
     def __init__(self):
         self.records = {}
--- a/packages/cardamomrun-control/tests/test_publisher.py
+++ b/packages/cardamomrun-control/tests/test_publisher.py
@@ -1,19 +1,13 @@
 import asyncio
 from dataclasses import replace
 
-from cardamomrun_base.model import Kind, MemberBody, MemberPhase, Record
+from cardamomrun_base.model import Kind, MemberPhase, Record
 from cardamomrun_control.publisher import Publisher
 
-from .builders import Cluster, LoopClock, until, virtual_time
+from .builders import Cluster, LoopClock, member, until, virtual_time
 from .test_state import apply
 
 
-def member(name, phase=MemberPhase.SERVING, incarnation=1):
-    return MemberBody(
-        name, incarnation, "bc-interior", name, ("entry",), "", "", "", phase
-    )
-
-
 def publisher(replica):
     return Publisher(
         replica.settings, LoopClock(), replica.fleet, replica.agreement, replica.state
--- a/packages/cardamomrun-control/tests/test_service.py
+++ b/packages/cardamomrun-control/tests/test_service.py
@@ -1,5 +1,6 @@
 import base64
 import json
+from contextlib import AsyncExitStack
 
 import pytest
 from tornado.httpclient import AsyncHTTPClient
@@ -11,7 +12,16 @@
 from cardamomrun_base.model import Kind
 from cardamomrun_control import ControlService
 
-from .builders import TOKEN, FakeFleet, Network, document, real_time, settings, until
+from .builders import (
+    TOKEN,
+    FakeFleet,
+    Network,
+    document,
+    member,
+    real_time,
+    settings,
+    until,
+)
 
 BASE = "/v1/environments/rota-desk"
 
@@ -19,12 +29,12 @@
 class Node:
     """A control service with its operators' interface on a real listener."""
 
-    def __init__(self, folder, name="c1", voters=("c1",)):
+    def __init__(self, folder, name="c1", voters=("c1",), network=None, wait_ms=100):
         (folder / "tokens.json").write_text(
             f'{{"alice": "{TOKEN}", /* second */ "bob": "b"}}'
         )
-        self.fleet = FakeFleet(name, Network())
-        node_settings = settings(folder, name, voters, election_timeout_ms=100)
+        self.fleet = FakeFleet(name, network or Network())
+        node_settings = settings(folder, name, voters, election_timeout_ms=wait_ms)
         self.service = ControlService(node_settings, SystemClock(), self.fleet)
 
     async def __aenter__(self):
@@ -138,3 +148,35 @@
             assert (status, body["error"]) == (421, "not-leader")
         assert (await node.apply(1, 0))[0] == 421
         assert (await node.call("/v1/control"))[1]["may_lose_one"] is None
+
+
+@real_time
+async def test_change_is_resent_to_the_next_leader(tmp_path):
+    """Guards against a change lost or made twice when its answer was lost."""
+    network, names = Network(), ("c1", "c2", "c3")
+    async with AsyncExitStack() as stack:
+        nodes = [Node(tmp_path, name, names, network, 1_000) for name in names]
+        for node in nodes:
+            await stack.enter_async_context(node)
+            node.fleet.member_list = [member(name) for name in names]
+        await until(lambda: any(n.service.leadership.holds_lease() for n in nodes))
+        leads = [node.service.leadership.holds_lease() for node in nodes]
+        old = nodes[leads.index(True)]
+        others = [node for node in nodes if node is not old]
+        first = await old.apply(1, 0)
+        status, body = await others[0].apply(2, 1)
+        leader_name = old.fleet.instance_id
+        assert (status, body["leader_admin_address"]) == (421, f"{leader_name}:1")
+        network.isolate(leader_name)
+        status, body = await old.apply(2, 1, deadline_ms=500)
+        assert (status, body["error"]) in [(504, "unknown-end"), (503, "unavailable")]
+        await until(lambda: any(n.service.leadership.holds_lease() for n in others))
+        leads = [node.service.leadership.holds_lease() for node in others]
+        new = others[leads.index(True)]
+        assert await new.apply(1, 0) == first
+        done = await new.apply(2, 1, deadline_ms=500)
+        assert (done[0], done[1]["version"]) == (200, 2)
+        network.heal()
+        key = (Kind.ENVIRONMENT, "rota-desk/trial")
+        await until(lambda: old.fleet.store.records[key].counter == 2)
+        assert await new.apply(2, 1, deadline_ms=500) == done
