--- a/packages/cardamomrun-control/src/cardamomrun_control/agreement.py
+++ b/packages/cardamomrun-control/src/cardamomrun_control/agreement.py
@@ -18,6 +18,7 @@
 from cardamomrun_base.clock import Clock
 from cardamomrun_base.codec import CodecError, decode, encode, message
 from cardamomrun_base.errors import (
+    CardamomrunError,
     ConflictError,
     NotLeaderError,
     PeerTimeoutError,
@@ -93,6 +94,7 @@
     """The agreement as this instance sees it.
 
     `may_lose_one` and `may_change_voters` are None on an instance that does not lead.
+    `failure` says why the data folder is out of use; the instance takes no part then.
     """
 
     role: str
@@ -104,6 +106,7 @@
     voters: tuple[VoterStatus, ...]
     may_lose_one: bool | None
     may_change_voters: bool | None
+    failure: str | None
 
 
 @dataclass
@@ -155,6 +158,7 @@
         self._snapshot_task: asyncio.Task | None = None
         self._learner_task: asyncio.Task | None = None
         self._failure: StorageError | None = None
+        self._logged_waiting = False
         self.on_commit: Callable[[], None] = lambda: None
 
     # Leadership
@@ -257,7 +261,9 @@
         if isinstance(error, StorageError):
             self._fail(error)
         elif error is not None:
+            # Without one of its tasks a leader may starve a follower unnoticed.
             _log.error(f"a task ended with {error!r}")
+            self._stop_leading("one of its tasks failed")
 
     def _fail(self, error: StorageError) -> None:
         """Take no further part if the log refuses writes.
@@ -342,14 +348,24 @@
             elif due_ms > 0:
                 await self._clock.sleep_ms(due_ms)
             else:
-                await self._seek_election()
+                await self._try_election()
+
+    async def _try_election(self) -> None:
+        try:
+            await self._seek_election()
+        except StorageError as error:
+            self._fail(error)
+            self._stop_leading("the data folder refused a write")
 
     async def _seek_election(self) -> None:
         heard_ms = self._heard_ms
         self._election_due_ms = self._clock.now_ms() + (
             self._settings.election_timeout_ms * (0.5 + self._rng.random())
         )
-        if not self._has_vote() or not await self._collect_votes(is_trial=True):
+        if not self._has_vote():
+            return
+        if not await self._collect_votes(is_trial=True):
+            self._log_waiting()
             return
         async with self._lock:
             if self._heard_ms != heard_ms or self.is_leader:
@@ -363,6 +379,14 @@
             if won and self.term == term and self._role is Role.CANDIDATE:
                 await self._begin_leading(won)
 
+    def _log_waiting(self) -> None:
+        if self._is_new_cluster and not self._logged_waiting:
+            self._logged_waiting = True
+            _log.warning(
+                f"waits until all {len(self._counting())} voters in the settings can "
+                "be reached, which the first election of a cluster needs"
+            )
+
     async def _collect_votes(self, *, is_trial: bool) -> dict[str, str]:
         """Ask the other voters; return replica ids by voter if enough granted."""
         term = self.term + 1 if is_trial else self.term
@@ -773,8 +797,9 @@
     # Following
 
     def _check_working(self) -> None:
-        if self._failure is not None:
-            raise self._failure
+        failure = self._failure or self._durable.failure
+        if failure is not None:
+            raise failure
 
     async def _follow(self, peer_id: str, envelope: Envelope) -> bool:
         """Accept the sender as leader of its term; False if the term is over."""
@@ -916,7 +941,7 @@
             return await self._fleet.request(
                 instance_id, request, timeout_ms=timeout_ms
             )
-        except UnavailableError:
+        except CardamomrunError:
             return None
 
     # Proposals and reads
@@ -1124,6 +1149,7 @@
             voters,
             may_lose_one,
             may_change,
+            None if self._failure is None else str(self._failure),
         )
 
     def _voter_status(self, voter: VoterEntry) -> VoterStatus:
