Refuse a missing data folder; pack all nested data classes

Ruled out: a setting that allows creation (operators create a folder once). Change: StorageError with the remedy; the codec converts along type hints; a keeper accepts a roster that names a refuted incarnation of its own run.

--- a/packages/cardamomrun-base/src/cardamomrun_base/codec.py
+++ b/packages/cardamomrun-base/src/cardamomrun_base/codec.py
@@ -1,5 +1,6 @@
 """CBOR encoding of frozen data classes, checked on arrival by pydantic."""
 
+from collections.abc import Callable
 from dataclasses import fields, is_dataclass
 from functools import cache
 from typing import Any, get_args, get_origin, get_type_hints
@@ -53,60 +54,57 @@
     return tuple(field.name for field in fields(cls))
 
 
+Converter = Callable[[Any], Any]
+
+
 @cache
-def _nested_types(cls: Any) -> dict[str, Any]:
-    """Return the fields that hold data classes, with the class of their items."""
+def _converters(cls: Any) -> dict[str, Converter]:
+    """Return how to unpack those fields of a data class that hold data classes."""
     hints = get_type_hints(cls)
-    nested = {name: _data_class_in(hints[name]) for name in _field_names(cls)}
-    return {name: found for name, found in nested.items() if found is not None}
+    found = {name: _converter(hints[name]) for name in _field_names(cls)}
+    return {name: convert for name, convert in found.items() if convert is not None}
 
 
-def _data_class_in(hint: Any) -> Any:
+def _converter(hint: Any) -> Converter | None:
+    """Return how to unpack a value of this type; None if it is passed on as it is."""
     if isinstance(hint, type) and is_dataclass(hint):
-        return hint
-    for part in get_args(hint):
-        found = _data_class_in(part)
-        if found is not None:
-            return found
-    return None
+        return lambda items: _unpack(hint, items)
+    inner = [_converter(part) for part in get_args(hint)]
+    convert = next((one for one in inner if one is not None), None)
+    if convert is None:
+        return None
+    if get_origin(hint) in (tuple, list):
+        return lambda items: [convert(item) for item in items]
+    if get_origin(hint) is dict:
+        return lambda items: {key: convert(item) for key, item in items.items()}
+    return lambda item: item if item is None else convert(item)
 
 
 def _pack(value: Any) -> Any:
-    """Return a data class as a list of its fields, and sequences item by item."""
+    """Return a data class as a list of its fields, and containers item by item."""
     if is_dataclass(value):
         cls: Any = type(value)
-        nested = _nested_types(cls)
+        nested = _converters(cls)
         return [
             _pack(getattr(value, name)) if name in nested else getattr(value, name)
             for name in _field_names(cls)
         ]
     if isinstance(value, (tuple, list)):
         return [_pack(item) for item in value]
+    if isinstance(value, dict):
+        return {key: _pack(item) for key, item in value.items()}
     return value
 
 
 def _unpack(cls: Any, items: list[Any]) -> dict[str, Any]:
     """Return the fields of a data class by name, those of nested ones too."""
-    names = _field_names(cls)
-    body = dict(zip(names, items, strict=False))
-    for name, nested in _nested_types(cls).items():
-        if body.get(name) is not None:
-            body[name] = _unpack_field(nested, body[name], _is_sequence(cls, name))
+    body = dict(zip(_field_names(cls), items, strict=False))
+    for name, convert in _converters(cls).items():
+        if name in body:
+            body[name] = convert(body[name])
     return body
 
 
-def _unpack_field(nested: Any, value: Any, is_sequence: bool) -> Any:
-    if is_sequence:
-        return [_unpack(nested, item) for item in value]
-    return _unpack(nested, value)
-
-
-@cache
-def _is_sequence(cls: Any, name: str) -> bool:
-    hint = get_type_hints(cls)[name]
-    return get_origin(hint) in (tuple, list)
-
-
 def encode(value: Any) -> bytes:
     """Return the CBOR form of a registered data class: a list of name and fields.
 
--- a/packages/cardamomrun-control/src/cardamomrun_control/storage.py
+++ b/packages/cardamomrun-control/src/cardamomrun_control/storage.py
@@ -184,9 +184,15 @@
         return self._entries[index - self.first_index :]
 
     def open(self) -> None:
-        """Lock the folder and read it; create it if it is empty."""
+        """Lock the folder and read it; the folder must exist."""
+        # A folder that is missing may be a disk that is not mounted. Creating it would
+        # start the instance without its votes and entries.
+        if not self.folder.is_dir():
+            raise StorageError(
+                f"{self.folder}: the data folder does not exist.",
+                remedy="mount its disk, or create the folder for a new instance",
+            )
         try:
-            self.folder.mkdir(parents=True, exist_ok=True)
             self._lock()
             self._read_identity()
             self._read_snapshot()
--- a/packages/cardamomrun-control/tests/builders.py
+++ b/packages/cardamomrun-control/tests/builders.py
@@ -116,6 +116,7 @@
 
 
 def settings(folder, name="c1", voters=("c1",), **control):
+    (Path(folder) / name).mkdir(exist_ok=True)
     control = ControlSettings(
         data_folder=Path(folder) / name,
         voters=tuple(Voter(v, f"127.0.0.1:{9000 + int(v[1:])}") for v in voters),
--- a/packages/cardamomrun-control/tests/test_agreement.py
+++ b/packages/cardamomrun-control/tests/test_agreement.py
@@ -127,6 +127,7 @@
         wiped, other = [r for r in cluster.running() if r is not leader]
         await wiped.crash()
         shutil.rmtree(wiped.settings.control.data_folder)
+        wiped.settings.control.data_folder.mkdir()
         await wiped.start()
         await asyncio.sleep(3)
         assert wiped.agreement.applied_index == 0
--- a/packages/cardamomrun-control/tests/test_storage.py
+++ b/packages/cardamomrun-control/tests/test_storage.py
@@ -15,6 +15,7 @@
 
 
 def opened(folder, disk=None):
+    folder.mkdir(exist_ok=True)
     log = DurableLog(folder, disk or InlineDisk())
     log.open()
     return log
@@ -207,3 +208,10 @@
         assert log.synced_index == 51 and disk.count - before <= 2
 
     asyncio.run(main())
+
+
+def test_missing_folder_is_refused(tmp_path):
+    """Guards against an unmounted disk that starts an instance without its votes."""
+    with pytest.raises(StorageError, match="does not exist"):
+        DurableLog(tmp_path / "nowhere", InlineDisk()).open()
+    assert not (tmp_path / "nowhere").exists()
--- a/packages/cardamomrun-node/src/cardamomrun_node/node.py
+++ b/packages/cardamomrun-node/src/cardamomrun_node/node.py
@@ -84,7 +84,7 @@
     def _build_keeper(self) -> Keeper:
         # Registered before the first link opens, so that no claim meets a node that
         # answers links but does not know the message.
-        incarnation = self.fleet.incarnation
+        incarnation = self.fleet.start_incarnation
         return Keeper(self._settings, self._clock, self.fleet, incarnation)
 
     async def _start_control(
--- a/packages/cardamomrun-requests/src/cardamomrun_requests/keeper.py
+++ b/packages/cardamomrun-requests/src/cardamomrun_requests/keeper.py
@@ -211,7 +211,9 @@
             self._place = self._own_place(roster)
         if self._place is None:
             return False
-        if self._place.incarnation == self._incarnation:
+        # A refutation raises the incarnation within a run, so the roster may name a
+        # later one than that of the start.
+        if self._place.incarnation >= self._incarnation:
             return True
         # An earlier run of this process may have granted claims that this run does
         # not know; they all end one retention time after the start of this run.
