Run each attempt in a turn of the quarantine, finish settlements on a stop

Cause: CrashQuarantine.turn and QuorumClaims.finish were not called. Resends of a crashing request ran at the same time after its first counted death, so the bound on deaths did not hold; a stop could close the fleet while settlements of the last requests were under way, which left their keys running.

Ruled out: returning failures out of the turn. A turn that is left normally says that the server survived, and a refused connection or a timeout does not show that, so an attempt without an answer head leaves by an exception.

Change: Exchange enters a turn before it chooses a server, and AttemptRunner ends the turn at the answer head, so that a long answer blocks no one. A failure returns only when the death is decided. A turn waits for a decision again after the lock is acquired. The error `crash-suspect` (503, not run, retry later) is new: another run of a suspect did not end within TURN_MS. The node awaits claims.finish() after the front door has stopped and before the fleet closes.

--- a/packages/cardamomrun-base/src/cardamomrun_base/interfaces.py
+++ b/packages/cardamomrun-base/src/cardamomrun_base/interfaces.py
@@ -1,6 +1,7 @@
 """Interfaces between packages; each is implemented in the package named."""
 
 from collections.abc import Awaitable, Callable, Iterable
+from contextlib import AbstractAsyncContextManager
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import Any, Protocol
@@ -237,6 +238,9 @@
     async def release(self, won: Won) -> None:
         """Give the key back; allowed only if the request was not run."""
 
+    async def finish(self) -> None:
+        """Wait for updates of keepers under way, before the fleet is closed."""
+
 
 class Quarantine(Protocol):
     """Requests that crash backend servers (`cardamomrun_requests.quarantine`)."""
@@ -244,6 +248,15 @@
     def is_quarantined(self, environment: EnvironmentId, fingerprint: str) -> bool:
         """Return True if requests with this fingerprint must not run now."""
 
+    def turn(
+        self, environment: EnvironmentId, fingerprint: str
+    ) -> AbstractAsyncContextManager[bool]:
+        """Hold one attempt of a request; the value is False if it must not run.
+
+        Left normally at the end of an answer head, and by an exception if none came;
+        after `connection_died` if the connection ended.
+        """
+
     async def connection_died(self, attempt: Attempt, fingerprint: str) -> bool:
         """Find out whether the server died of this request; True if a death counted.
 
--- a/packages/cardamomrun-node/src/cardamomrun_node/node.py
+++ b/packages/cardamomrun-node/src/cardamomrun_node/node.py
@@ -115,12 +115,13 @@
         settings, clock, fleet = self._settings, self._clock, self.fleet
         registry = Registry(settings, clock, fleet)
         reporter = Reporter(settings, clock, fleet, self.backends, self.environments)
+        claims = QuorumClaims(settings, clock, fleet, keeper=keeper)
         front_door = FrontDoor(
             settings,
             clock,
             self.environments,
             self.backends,
-            QuorumClaims(settings, clock, fleet, keeper=keeper),
+            claims,
             CrashQuarantine(settings, clock, fleet, self.backends),
             Directory(settings, clock, fleet),
         )
@@ -129,6 +130,9 @@
         self._run(registry.run, stack)
         self._run(reporter.run, stack)
         await front_door.start()
+        # After the last request and before the fleet closes; a settlement that is lost
+        # leaves its key running for the rest of the retention time.
+        stack.push_async_callback(claims.finish)
         stack.push_async_callback(front_door.stop)
 
     def _common_routes(self) -> list[URLSpec]:
--- a/packages/cardamomrun-requests/src/cardamomrun_requests/attempt.py
+++ b/packages/cardamomrun-requests/src/cardamomrun_requests/attempt.py
@@ -1,6 +1,7 @@
 """One attempt to have a request answered by one backend server."""
 
 import asyncio
+from contextlib import AsyncExitStack
 from dataclasses import dataclass
 
 from tornado.httputil import HTTPHeaders, ResponseStartLine
@@ -89,8 +90,19 @@
         self._claim = claim
         self._deciding: asyncio.Task[None] | None = None
 
-    async def run(self, server: BackendBody) -> Failure | None:
-        """Send the request to one server; None once its answer went to the caller."""
+    async def run(self, server: BackendBody, turn: AsyncExitStack) -> Failure | None:
+        """Send the request to one server; None once its answer went to the caller.
+
+        Closes `turn` at the end of the answer head, and returns a failure only when
+        it is decided whether the server died.
+        """
+        failure = await self._run(server, turn)
+        if self._deciding is not None:
+            await asyncio.wait({self._deciding})
+            self._deciding = None
+        return failure
+
+    async def _run(self, server: BackendBody, turn: AsyncExitStack) -> Failure | None:
         attempt = self._path.backends.started(server)
         evidence = Evidence()
         try:
@@ -100,7 +112,7 @@
             evidence.reused = connection.reused
             try:
                 self._claim.check_start()
-                return await self._exchange(connection, evidence)
+                return await self._exchange(connection, evidence, turn)
             finally:
                 self._path.pools.release(connection)
         finally:
@@ -113,12 +125,6 @@
                 if evidence.check is Check.DIED:
                     self._deciding = task
 
-    async def wait_decided(self) -> None:
-        """Wait for the check of a death, which may quarantine this request."""
-        if self._deciding is not None:
-            await asyncio.wait({self._deciding})
-            self._deciding = None
-
     async def _connect(
         self, server: BackendBody, evidence: Evidence
     ) -> UpstreamConnection | Failure:
@@ -137,7 +143,7 @@
             return Failure("no-connection", "No connection was free.", 503, True)
 
     async def _exchange(
-        self, connection: UpstreamConnection, evidence: Evidence
+        self, connection: UpstreamConnection, evidence: Evidence, turn: AsyncExitStack
     ) -> Failure | None:
         sent_before = self._state.maybe_run
         self._state.maybe_run = True
@@ -168,6 +174,8 @@
                 self._request.body.resendable,
                 evidence.retry_after_s,
             )
+        # The server survived the request; its answer may take long to pass on.
+        await turn.aclose()
         await self._pass_on(answer, head, evidence)
         return None
 
--- a/packages/cardamomrun-requests/src/cardamomrun_requests/exchange.py
+++ b/packages/cardamomrun-requests/src/cardamomrun_requests/exchange.py
@@ -1,6 +1,7 @@
 """One request from its head to the end of its answer, in one task."""
 
 import asyncio
+from contextlib import AsyncExitStack
 
 from tornado.iostream import StreamClosedError
 
@@ -34,6 +35,14 @@
 _log = PartLog("front")
 
 
+class _UnansweredError(Exception):
+    """An attempt ended without an answer; `failure` is None if none could be made."""
+
+    def __init__(self, failure: Failure | None) -> None:
+        super().__init__()
+        self.failure = failure
+
+
 class Exchange:
     """Runs one request."""
 
@@ -214,38 +223,30 @@
             )
 
     async def _attempts(self, context: RequestContext, claim: KeyClaim) -> None:
-        self._check_quarantine(context)
         runner = AttemptRunner(self._path, context, self._reply, self._state, claim)
         budget = self._path.budget(context.environment)
         budget.count_request()
-        retries = context.environment.document.retries
         tried: set[str] = set()
         failure: Failure | None = None
-        for number in range(retries.attempt_count):
-            server = self._path.backends.choose(
-                context.environment_name, exclude=frozenset(tried)
-            )
-            if server is None:
-                break
-            if number > 0:
-                if not budget.take(retries.budget_ratio):
-                    break
-                metrics.RETRIES.labels(context.environment_name).inc()
-            failure = await runner.run(server)
-            if failure is None:
+        for number in range(context.environment.document.retries.attempt_count):
+            try:
+                async with AsyncExitStack() as turn:
+                    await self._enter_turn(context, turn)
+                    await self._attempt(context, runner, turn, tried, number > 0)
                 return
-            if failure.charges_server:
-                tried.add(server.server_id)
+            except _UnansweredError as unanswered:
+                if unanswered.failure is None:
+                    break
+                failure = unanswered.failure
             if not failure.may_retry:
                 break
-            await runner.wait_decided()
-            self._check_quarantine(context)
         raise self._failed(failure)
 
-    def _check_quarantine(self, context: RequestContext) -> None:
-        if self._path.quarantine.is_quarantined(
-            context.environment_name, context.fingerprint()
-        ):
+    async def _enter_turn(self, context: RequestContext, turn: AsyncExitStack) -> None:
+        """Wait for the request's turn. Raises `EndedError` if it must not run."""
+        scope = (context.environment_name, context.fingerprint())
+        may_run = await turn.enter_async_context(self._path.quarantine.turn(*scope))
+        if self._path.quarantine.is_quarantined(*scope):
             raise self._state.error(
                 "quarantined",
                 "Backend servers died of this request.",
@@ -253,6 +254,44 @@
                 503,
                 QUARANTINE_S,
             )
+        if not may_run:
+            raise self._state.error(
+                "crash-suspect",
+                "A backend server died of this request, and another run has not ended.",
+                "retry later",
+                503,
+                RETRY_AFTER_S,
+            )
+
+    async def _attempt(
+        self,
+        context: RequestContext,
+        runner: AttemptRunner,
+        turn: AsyncExitStack,
+        tried: set[str],
+        is_retry: bool,
+    ) -> None:
+        """Make one attempt. Raises `_UnansweredError` if the caller has no answer.
+
+        It raises rather than returns, since a turn that is left normally tells that
+        the server survived the request.
+        """
+        server = self._path.backends.choose(
+            context.environment_name, exclude=frozenset(tried)
+        )
+        if server is None:
+            raise _UnansweredError(None)
+        if is_retry:
+            ratio = context.environment.document.retries.budget_ratio
+            if not self._path.budget(context.environment).take(ratio):
+                raise _UnansweredError(None)
+            metrics.RETRIES.labels(context.environment_name).inc()
+        failure = await runner.run(server, turn)
+        if failure is None:
+            return
+        if failure.charges_server:
+            tried.add(server.server_id)
+        raise _UnansweredError(failure)
 
     def _failed(self, failure: Failure | None) -> EndedError:
         if failure is None:
--- a/packages/cardamomrun-requests/src/cardamomrun_requests/quarantine.py
+++ b/packages/cardamomrun-requests/src/cardamomrun_requests/quarantine.py
@@ -2,7 +2,7 @@
 
 Bound on deaths: a request that crashes each server that runs it kills at most 2 servers
 plus those that run it at the moment the second death is decided here or its record
-arrives at another instance. If all instances use `turn`, these are the first burst
+arrives at another instance. Since all instances use `turn`, these are the first burst
 (attempts that began before the first death was decided) and at most one attempt per
 instance after it: a request whose fingerprint has a death under decision waits for the
 decision, and after a counted death such requests run one at a time until one is
@@ -114,9 +114,9 @@
 class CrashQuarantine:
     """Implements `cardamomrun_base.interfaces.Quarantine` on crash records.
 
-    The front awaits `decided` and then asks `is_quarantined` before each attempt, or
-    uses `turn`, which does the first and keeps suspects apart. `connect` opens a fresh
-    connection to `host:port`; tests replace it.
+    The front holds a `turn` for each attempt, which waits for decisions under way and
+    keeps suspects apart. `connect` opens a fresh connection to `host:port`; tests
+    replace it.
     """
 
     def __init__(
@@ -168,7 +168,7 @@
         death, attempts with the fingerprint run one after the other until one is
         answered; each waits at most `TURN_MS` and is refused then. The caller leaves
         the context after `connection_died` or the end of the answer head, and by an
-        exception if the attempt did not run.
+        exception if no answer head came.
         """
         await self.decided(fingerprint)
         suspect = self._suspects.get(fingerprint)
@@ -183,6 +183,8 @@
         except TimeoutError:
             yield False
             return
+        # The attempt before may have left while its death was still being decided.
+        await self.decided(fingerprint)
         if not suspect.alone:
             suspect.turn.release()
             yield not self.is_quarantined(environment, fingerprint)
--- a/packages/cardamomrun-requests/tests/builders.py
+++ b/packages/cardamomrun-requests/tests/builders.py
@@ -110,15 +110,29 @@
     async def release(self, won):
         self.settled.append("released")
 
+    async def finish(self):
+        """Settlements take no time here."""
+
 
 class FakeQuarantine:
     def __init__(self) -> None:
         self.quarantined = False
         self.death_count = 0
+        self.turn_count = 0
+        self.unanswered_count = 0
 
     def is_quarantined(self, environment, fingerprint):
         return self.quarantined
 
+    @contextlib.asynccontextmanager
+    async def turn(self, environment, fingerprint):
+        self.turn_count += 1
+        try:
+            yield not self.quarantined
+        except Exception:
+            self.unanswered_count += 1
+            raise
+
     async def connection_died(self, attempt, fingerprint):
         self.death_count += 1
         return False
