Split agreement.py into modules with one job each

Cause: agreement.py had 1,167 lines, with elections, replication, following, voters and reads in one class. Ruled out: separate objects that share one state object. Nearly every method uses the term, the log and the voters, and the tests call methods of `Agreement`. Change: `replica` (state of a replica), `lease`, `commits`, `replication`, `following`, `proposals` (with confirmed reads), `voters`, `elections` and `status`. The classes build on each other without cycles and `Agreement` joins them. Methods were moved without a change; two tests name the new modules of `Noop` and `BATCH_BYTES`. Conclusion: no change of behaviour.

--- /dev/null
+++ b/packages/cardamomrun-control/src/cardamomrun_control/commits.py
@@ -0,0 +1,86 @@
+"""Commit, apply, and snapshots of the applied state."""
+
+import asyncio
+from typing import Any
+
+from cardamomrun_base.codec import decode, encode
+from cardamomrun_control.errors import unknown_end
+from cardamomrun_control.lease import Lease
+from cardamomrun_control.replica import Noop
+from cardamomrun_control.storage import Entry, Snapshot
+
+__all__ = ["Commits"]
+
+
+class Commits(Lease):
+    """Applies committed entries in the order of the log."""
+
+    def _advance_commit(self) -> None:
+        if not self.is_leader:
+            return
+        matches = [
+            self._durable.synced_index
+            if self._is_own(voter)
+            else self._peers[voter.instance_id].match_index
+            if voter.instance_id in self._peers
+            else 0
+            for voter in self._counting()
+        ]
+        matches.sort(reverse=True)
+        index = matches[self._majority_count() - 1]
+        # Entries of earlier terms are committed only by a later one of the own term
+        # (Raft, section 5.4.2).
+        if index > self._commit_index and self._durable.term_at(index) == self.term:
+            self._commit_index = index
+            self._apply_committed()
+            self._wake_peers()
+
+    def _learn_commit(self, index: int) -> None:
+        if index > self._commit_index:
+            self._commit_index = index
+            self._apply_committed()
+
+    def _apply_committed(self) -> None:
+        while self._applied_index < self._commit_index:
+            index = self._applied_index + 1
+            entry = self._durable.entries_from(index)[0]
+            command = decode(entry.command)
+            result = None
+            if not isinstance(command, Noop):
+                result = self._state.apply(command, index)
+            self._applied_index = index
+            self._resolve(entry, result)
+        self._leave_if_removed()
+        self._changed.set()
+        self._changed = asyncio.Event()
+        self.on_commit()
+        self._consider_snapshot()
+
+    def _resolve(self, entry: Entry, result: Any) -> None:
+        waiting = self._pending.pop(entry.index, None)
+        if waiting is None or waiting.future.done():
+            return
+        if waiting.term == entry.term:
+            waiting.future.set_result(result)
+        else:
+            waiting.future.set_exception(unknown_end("another instance leads"))
+
+    def _leave_if_removed(self) -> None:
+        index, _ = self._voter_sets[-1]
+        if self.is_leader and index <= self._commit_index and not self._has_vote():
+            self._stop_leading("it was removed from the voters")
+
+    def _consider_snapshot(self) -> None:
+        covered_count = self._applied_index - self._durable.snapshot.index
+        running = self._snapshot_task is not None and not self._snapshot_task.done()
+        if covered_count >= self._settings.snapshot_entry_count and not running:
+            snapshot = self._make_snapshot()
+            self._snapshot_task = self._spawn(self._durable.save_snapshot(snapshot))
+
+    def _make_snapshot(self) -> Snapshot:
+        index = self._applied_index
+        voters = [v for i, v in self._voter_sets if i <= index][-1]
+        later = [(i, v) for i, v in self._voter_sets if i > index]
+        self._voter_sets = [(index, voters), *later]
+        term = self._durable.term_at(index) or 0
+        return Snapshot(index, term, encode(voters), self._state.snapshot())
--- /dev/null
+++ b/packages/cardamomrun-control/src/cardamomrun_control/lease.py
@@ -0,0 +1,72 @@
+"""The leader lease, and stepping down without a majority."""
+
+import asyncio
+
+from cardamomrun_base.logs import PartLog
+from cardamomrun_control.replica import Replica
+
+__all__ = ["Lease"]
+
+# The lease ends before the earliest election of another leader by this margin, which
+# allows for clocks that run at different rates (design page, section 4.3).
+LEASE_RATIO = 0.8
+
+_log = PartLog("control")
+
+
+class Lease(Replica):
+    """Knows for how long no other instance can lead."""
+
+    def holds_lease(self) -> bool:
+        """Return True while no other instance can lead."""
+        self._check_quorum()
+        return self.is_leader and self._clock.now_ms() < self._lease_until_ms
+
+    def lease_held_since_ms(self) -> float:
+        """Return when this instance's current leader lease began, monotonic ms."""
+        return self._lease_since_ms
+
+    def _acknowledged_ms(self) -> float:
+        """Return the latest time at which a majority is known to have followed."""
+        times = [
+            self._clock.now_ms()
+            if self._is_own(voter)
+            else self._peers[voter.instance_id].acknowledged_ms
+            if voter.instance_id in self._peers
+            else float("-inf")
+            for voter in self._counting()
+        ]
+        times.sort(reverse=True)
+        return times[self._majority_count() - 1]
+
+    def _extend_lease(self) -> None:
+        now_ms = self._clock.now_ms()
+        lease_ms = self._settings.election_timeout_ms * LEASE_RATIO
+        until_ms = self._acknowledged_ms() + lease_ms
+        if until_ms <= self._lease_until_ms:
+            return
+        if now_ms >= self._lease_until_ms:
+            self._lease_since_ms = now_ms
+        self._lease_until_ms = until_ms
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def _check_quorum(self) -> None:
+        """Stop leading if no majority has answered within the election timeout."""
+        if not self.is_leader:
+            return
+        heard_ms = max(self._acknowledged_ms(), self._started_leading_ms)
+        silent_ms = self._clock.now_ms() - heard_ms
+        if silent_ms >= self._settings.election_timeout_ms:
+            _log.warning(f"no majority answered for {silent_ms:.0f} ms")
+            self._become_follower(None)
+        elif self._majority_count() == 1:
+            self._extend_lease()
+
+    def _hears_leader(self) -> bool:
+        if self.is_leader:
+            self._check_quorum()
+            return self.is_leader
+        since_ms = self._clock.now_ms() - self._heard_ms
+        alone = len(self._counting()) == 1 and self._has_vote()
+        return since_ms < self._settings.election_timeout_ms and not alone
--- /dev/null
+++ b/packages/cardamomrun-control/src/cardamomrun_control/proposals.py
@@ -0,0 +1,93 @@
+"""Proposals of commands, and reads that are confirmed by a majority."""
+
+import asyncio
+from typing import Any
+
+from cardamomrun_base.errors import NotLeaderError, UnavailableError
+from cardamomrun_control.errors import unknown_end
+from cardamomrun_control.replica import Pending
+from cardamomrun_control.replication import Replication
+
+__all__ = ["Proposals"]
+
+PROPOSE_TIMEOUT_MS = 5_000
+PENDING_COUNT = 1_000
+
+
+class Proposals(Replication):
+    """Accepts commands and confirms reads while this replica leads."""
+
+    async def propose(self, command: Any) -> Any:
+        """Append a command and return the result of applying it once committed.
+
+        Raises `NotLeaderError` or `UnavailableError` if the command was not appended,
+        and `UnknownEndError` if it was and its end is not known.
+        """
+        self._check_leading()
+        if len(self._pending) >= PENDING_COUNT:
+            raise UnavailableError(
+                f"{PENDING_COUNT} changes wait already.", remedy="send it again later"
+            )
+        entry = self._append_own(command)
+        future = asyncio.get_running_loop().create_future()
+        self._pending[entry.index] = Pending(entry.term, future)
+        self._wake_peers()
+        try:
+            async with asyncio.timeout(PROPOSE_TIMEOUT_MS / 1_000):
+                return await future
+        except TimeoutError as error:
+            raise unknown_end("no majority answered in time") from error
+        finally:
+            waiting = self._pending.get(entry.index)
+            if waiting is not None and waiting.future is future:
+                del self._pending[entry.index]
+
+    async def confirm_leadership(self) -> None:
+        """Return once a majority confirmed that this replica still leads.
+
+        After that the state holds all that was committed before the call. Raises
+        `NotLeaderError` or `UnavailableError`.
+        """
+        self._check_leading()
+        asked_ms = self._clock.now_ms()
+        read_index = max(self._commit_index, self._term_start_index)
+        term = self.term
+        try:
+            async with asyncio.timeout(self._settings.election_timeout_ms / 1_000):
+                while not self._is_confirmed(term, asked_ms, read_index):
+                    changed = self._changed
+                    self._wake_peers()
+                    await changed.wait()
+        except TimeoutError as error:
+            raise UnavailableError(
+                "No majority of the control instances confirms the leader.",
+                remedy="ask another control instance, or restore the majority",
+            ) from error
+
+    def _is_confirmed(self, term: int, asked_ms: float, read_index: int) -> bool:
+        if not self.is_leader or self.term != term:
+            raise self._not_leader()
+        confirmed = self._acknowledged_ms() >= asked_ms
+        return confirmed and self._applied_index >= read_index
+
+    def _check_leading(self) -> None:
+        self._check_working()
+        self._check_quorum()
+        if not self.is_leader:
+            raise self._not_leader()
+        if not self.holds_lease():
+            raise UnavailableError(
+                "This control instance has not heard from a majority.",
+                remedy="ask again in a second; restore the majority if it lasts",
+            )
+
+    def _not_leader(self) -> NotLeaderError:
+        address = None
+        for member in self._fleet.members():
+            if member.instance_id == self._leader_id:
+                address = member.admin_address
+        return NotLeaderError(
+            f"{self._instance_id} does not lead the control instances.",
+            remedy="ask the leader" if address else "ask again in a few seconds",
+            leader_admin_address=address,
+        )
--- a/packages/cardamomrun-control/tests/test_agreement.py
+++ b/packages/cardamomrun-control/tests/test_agreement.py
@@ -154,7 +154,7 @@
 @virtual_time
 async def test_voters_change_one_at_a_time(tmp_path, monkeypatch):
     """Guards against a newcomer that counts before it holds the log."""
-    monkeypatch.setattr("cardamomrun_control.agreement.BATCH_BYTES", 1)
+    monkeypatch.setattr("cardamomrun_control.replication.BATCH_BYTES", 1)
     async with Cluster(tmp_path) as cluster:
         leader = await cluster.leader()
         for number in range(1, 21):
--- a/packages/cardamomrun-control/tests/test_rules.py
+++ b/packages/cardamomrun-control/tests/test_rules.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from cardamomrun_control.agreement import Noop
 from cardamomrun_control.messages import AppendRequest, Envelope, VoteRequest
+from cardamomrun_control.replica import Noop
 from cardamomrun_control.storage import Entry, Vote, encode
 
 from .builders import Cluster, Network, virtual_time
