Publish documents in parsed form and parse each of them once

Cause: `publish()` left `EnvironmentBody.checked` empty, so every entry instance parsed every document, at about 1 ms a route. The operators' interface parsed on the event loop as well, so a long document delayed the leader's heartbeats. Also, `POST /v1/control/voters` expected other fields than docs/interfaces.md and the command line send, so `cardamomrun voters` was always refused with 400. Ruled out: publishing a long document at once without its parsed form; equal versions would then have different bodies. Change: `CheckedDocuments` holds parsed documents by digest, bounded by 16 MB. A document of more than 4 KiB is parsed on a thread, and its record follows. Conclusion: entry instances decode what control parsed. The change number of a change of voters is read but not yet used for resends.

--- a/packages/cardamomrun-control/src/cardamomrun_control/operator_api.py
+++ b/packages/cardamomrun-control/src/cardamomrun_control/operator_api.py
@@ -18,7 +18,7 @@
 from tornado.web import RequestHandler, URLSpec
 
 from cardamomrun_base.clock import Clock
-from cardamomrun_base.documents import document_digest, load_document
+from cardamomrun_base.documents import document_digest
 from cardamomrun_base.errors import (
     CardamomrunError,
     ConflictError,
@@ -32,6 +32,7 @@
 from cardamomrun_base.model import Stage, environment_id
 from cardamomrun_base.settings import Voter
 from cardamomrun_control.agreement import Agreement
+from cardamomrun_control.checked import CheckedDocuments
 from cardamomrun_control.errors import UnknownEndError
 from cardamomrun_control.state import (
     ApplyDocument,
@@ -98,6 +99,7 @@
     clock: Clock
     agreement: Agreement
     state: ControlState
+    checked: CheckedDocuments
     tokens: OperatorTokens | None = None
     refused_count: int = 0
 
@@ -160,11 +162,6 @@
         if not isinstance(value, CardamomrunError):
             super().log_exception(typ, value, tb)
 
-    def body_has(self, name: str) -> bool:
-        """Return True if the JSON body is an object with this field."""
-        body = _parsed(self.request.body)
-        return isinstance(body, dict) and name in body
-
     def fields(self, **types: type) -> Any:
         """Return the fields of the JSON body; all are required."""
         body = _parsed(self.request.body)
@@ -247,7 +244,7 @@
         body = self.fields(document=str, change_number=int, expected_version=int)
         document = _decoded(body["document"])
         self.digest = document_digest(document)
-        _check_document(document, service)
+        await self._check(document, service)
         command = ApplyDocument(
             self.operator,
             body["change_number"],
@@ -258,6 +255,15 @@
         )
         await self.answer_change(command)
 
+    async def _check(self, document: bytes, service: str) -> None:
+        loaded = await self.context.checked.check(document, "document")
+        if loaded.service != service:
+            raise DocumentError(
+                f"document: key service: it is {loaded.service}, the path has "
+                f"{service}.",
+                remedy="send the document to the path of its service",
+            )
+
 
 class PromoteHandler(OperatorHandler):
     """Copies the trial's document to production."""
@@ -354,15 +360,18 @@
     @audited("change voters")
     async def post(self) -> None:
         agreement = self.context.agreement
-        if self.body_has("add"):
-            body = self.fields(add=str, peer_address=str)
-            voter = _checked_voter(body["add"], body["peer_address"])
+        body = self.fields(
+            action=str, instance_id=str, peer_address=str, change_number=int
+        )
+        if body["action"] == "add":
+            voter = _checked_voter(body["instance_id"], body["peer_address"])
             voters = await agreement.add_voter(
                 self.operator, voter.instance_id, voter.peer_address
             )
+        elif body["action"] == "remove":
+            voters = await agreement.remove_voter(self.operator, body["instance_id"])
         else:
-            body = self.fields(remove=str)
-            voters = await agreement.remove_voter(self.operator, body["remove"])
+            raise _bad_request("action must be add or remove")
         self.finish({"voters": [asdict(entry) for entry in voters.entries]})
 
 
@@ -380,7 +389,7 @@
         )
     except ValidationError as error:
         raise _bad_request(
-            "add must be an instance id and peer_address host:port"
+            "instance_id must be a name and peer_address host:port"
         ) from error
 
 
@@ -417,15 +426,6 @@
         raise _bad_request("document must be in base64") from error
 
 
-def _check_document(document: bytes, service: str) -> None:
-    loaded = load_document(document, "document")
-    if loaded.service != service:
-        raise DocumentError(
-            f"document: key service: it is {loaded.service}, the path has {service}.",
-            remedy="send the document to the path of its service",
-        )
-
-
 def _bad_request(fault: str) -> BadRequestError:
     return BadRequestError(
         f"The request is malformed: {fault}.",
--- a/packages/cardamomrun-control/src/cardamomrun_control/publisher.py
+++ b/packages/cardamomrun-control/src/cardamomrun_control/publisher.py
@@ -1,12 +1,14 @@
 """Publishes committed state as records, and maintains the roster of claim keepers."""
 
 from collections.abc import Iterable
+from dataclasses import replace
 
 from cardamomrun_base.clock import Clock
 from cardamomrun_base.errors import StorageError, UnavailableError
 from cardamomrun_base.interfaces import Fleet
 from cardamomrun_base.logs import PartLog
 from cardamomrun_base.model import (
+    EnvironmentBody,
     Kind,
     LeaderBody,
     MemberBody,
@@ -16,6 +18,7 @@
 )
 from cardamomrun_base.settings import NodeSettings, Role
 from cardamomrun_control.agreement import Agreement
+from cardamomrun_control.checked import CheckedDocuments
 from cardamomrun_control.state import ControlState, SetRoster
 
 __all__ = ["LEADER_KEY", "ROSTER_KEY", "Publisher"]
@@ -41,8 +44,10 @@
         fleet: Fleet,
         agreement: Agreement,
         state: ControlState,
+        checked: CheckedDocuments | None = None,
     ) -> None:
         self._settings = settings
+        self._checked = checked or CheckedDocuments()
         self._clock = clock
         self._fleet = fleet
         self._agreement = agreement
@@ -53,14 +58,28 @@
         self._roster_since_ms = clock.now_ms()
 
     def publish(self) -> None:
-        """Publish the environments and the roster as committed here."""
+        """Publish the environments and the roster as committed here.
+
+        A long document follows once a thread has parsed it.
+        """
         for body in self._state.environments():
             version = (0, body.version)
             held = self._fleet.store.get(Kind.ENVIRONMENT, body.environment)
             if held is None or held.version < version:
-                self._put(Kind.ENVIRONMENT, body.environment, version, body)
+                self._publish_environment(body)
         self._publish_roster()
 
+    def _publish_environment(self, body: EnvironmentBody) -> None:
+        # All control instances wait for the parsed form, as equal versions must have
+        # equal bodies.
+        checked = self._checked.get(
+            body.digest, body.document, body.environment, self.publish
+        )
+        if checked is not None:
+            body = replace(body, checked=checked)
+            version = (0, body.version)
+            self._put(Kind.ENVIRONMENT, body.environment, version, body)
+
     async def run(self) -> None:
         """Publish the leader record and renew the roster while this instance leads."""
         while True:
--- a/packages/cardamomrun-control/src/cardamomrun_control/service.py
+++ b/packages/cardamomrun-control/src/cardamomrun_control/service.py
@@ -9,6 +9,7 @@
 from cardamomrun_base.interfaces import Fleet, Leadership
 from cardamomrun_base.settings import NodeSettings
 from cardamomrun_control.agreement import Agreement
+from cardamomrun_control.checked import CheckedDocuments
 from cardamomrun_control.operator_api import OperatorContext, operator_routes
 from cardamomrun_control.publisher import Publisher
 from cardamomrun_control.state import ControlState
@@ -32,11 +33,14 @@
         self._state = ControlState()
         log = DurableLog(self._settings.data_folder)
         self._agreement = Agreement(settings, clock, fleet, log, self._state)
+        self._checked = CheckedDocuments()
         self._publisher = Publisher(
-            settings, clock, fleet, self._agreement, self._state
+            settings, clock, fleet, self._agreement, self._state, self._checked
         )
         self._agreement.on_commit = self._publisher.publish
-        self._context = OperatorContext(clock, self._agreement, self._state)
+        self._context = OperatorContext(
+            clock, self._agreement, self._state, self._checked
+        )
         self._task: asyncio.Task | None = None
 
     @property
@@ -59,6 +63,7 @@
             with suppress(asyncio.CancelledError):
                 await self._task
         await self._agreement.stop()
+        await self._checked.stop()
 
     def routes(self) -> list[URLSpec]:
         """Return the URL specifications for the admin listener."""
--- a/packages/cardamomrun-control/tests/test_publisher.py
+++ b/packages/cardamomrun-control/tests/test_publisher.py
@@ -1,11 +1,29 @@
 import asyncio
+import json
 from dataclasses import replace
+from functools import partial
+from types import SimpleNamespace
 
+from cardamomrun_base.codec import decode
+from cardamomrun_base.documents import load_document
 from cardamomrun_base.model import Kind, MemberPhase, Record
+from cardamomrun_control import checked
 from cardamomrun_control.publisher import Publisher
+from cardamomrun_control.state import ControlState
 
-from .builders import Cluster, LoopClock, member, until, virtual_time
-from .test_state import apply
+from .builders import (
+    Cluster,
+    FakeFleet,
+    LoopClock,
+    Network,
+    document,
+    member,
+    real_time,
+    settings,
+    until,
+    virtual_time,
+)
+from .test_state import apply, promote
 
 
 def publisher(replica):
@@ -65,3 +83,42 @@
         assert record.content.instance_id == leader.name
         assert record.epoch == leader.agreement.term
         task.cancel()
+
+
+@real_time
+async def test_a_document_is_parsed_once_and_a_long_one_beside_the_loop(
+    tmp_path, monkeypatch
+):
+    """Guards against parsing at each promotion, entry start, or within a heartbeat."""
+    parsed_in = []
+
+    def load(data, name):
+        try:
+            asyncio.get_running_loop()
+            parsed_in.append("loop")
+        except RuntimeError:
+            parsed_in.append("thread")
+        return load_document(data, name)
+
+    def holds(key, version):
+        record = fleet.store.get(*key)
+        return record is not None and record.counter == version
+
+    monkeypatch.setattr(checked, "load_document", load)
+    state = ControlState()
+    fleet = FakeFleet("c1", Network())
+    work = Publisher(settings(tmp_path), LoopClock(), fleet, SimpleNamespace(), state)
+    routes = [{"prefix": f"/route-{n}"} for n in range(300)]
+    long = {**json.loads(document()), "routes": routes}
+    documents = [document(), json.dumps(long).encode()]
+    for version, data in enumerate(documents):
+        state.apply(apply(2 * version + 1, version, data), 2 * version + 1)
+        work.publish()
+        state.apply(promote(2 * version + 2, version, data), 2 * version + 2)
+        work.publish()
+        for stage in ("trial", "production"):
+            key = (Kind.ENVIRONMENT, f"rota-desk/{stage}")
+            await until(partial(holds, key, version + 1))
+            body = fleet.store.get(*key).content
+            assert decode(body.checked) == load_document(data, "document")
+    assert parsed_in == ["loop", "thread"]
