Test changes under kills, absences and races with real processes

Cause: nothing proved that accepted changes survive the loss of the leader, that absent instances catch up, or that racing operators have one winner.

--- a/tests/processes.py
+++ b/tests/processes.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import json
+import math
 import os
 import signal
 import subprocess
@@ -15,8 +16,16 @@
 from cardamomrun_base.errors import CardamomrunError, UnavailableError
 from cardamomrun_base.http_client import CallAnswer, call
 from cardamomrun_bench.caller import CallerError
+from cardamomrun_control.audit import AuditEntry
 
-__all__ = ["OPERATOR_TOKEN", "Processes", "document", "until"]
+__all__ = [
+    "OPERATOR_TOKEN",
+    "Observer",
+    "Operator",
+    "Processes",
+    "document",
+    "until",
+]
 
 FRONT_PORT, ADMIN_PORT, PEER_PORT, BACKEND_PORT = 18080, 18081, 18082, 18090
 OPERATOR_TOKEN = "operator-token-of-the-tests"
@@ -82,6 +91,8 @@
         self._network = network
         self._backend_count = 0
         self._running: dict[str, subprocess.Popen[bytes]] = {}
+        # Keys added to the settings of all control instances.
+        self.control_settings: dict[str, Any] = {}
         self._write_secrets()
 
     def names(self, role: str) -> list[str]:
@@ -177,6 +188,24 @@
             )
         return answer
 
+    async def leader(self, names: list[str] | None = None) -> str | None:
+        """Return the control instance that holds the leader lease, or None."""
+        names = [n for n in names or self.names("control") if n in self._running]
+        statuses = await asyncio.gather(*(self.control_status(n) for n in names))
+        for name, status in zip(names, statuses, strict=True):
+            if status is not None and status["holds_lease"]:
+                return name
+        return None
+
+    async def control_status(self, name: str) -> dict[str, Any] | None:
+        """Return `/v1/control` of an instance, or None if it does not answer."""
+        url = f"http://{self.admin(name)}/v1/control"
+        try:
+            answer = await call("GET", url, token=OPERATOR_TOKEN, timeout_ms=500)
+        except CardamomrunError:
+            return None
+        return answer.body if answer.status == 200 else None
+
     async def servers(self, entry: str) -> dict[str, Any]:
         """Return the backend servers of rota-desk as an entry instance sees them."""
         path = "/v1/environments/rota-desk/production/servers"
@@ -226,9 +255,111 @@
                     {"instance_id": voter, "peer_address": self.peer(voter)}
                     for voter in self.names("control")
                 ],
+                **self.control_settings,
             }
         return settings
 
     def _seeds(self, name: str) -> list[str]:
         seeds = [*self.names("control")[:3], *self.names("entry")[:2]]
         return [self.peer(seed) for seed in seeds if seed != name]
+
+
+class Operator:
+    """Sends changes of rota-desk and resends those whose end is not known."""
+
+    def __init__(self, group: Processes, token: str = OPERATOR_TOKEN) -> None:
+        self.group = group
+        self.token = token
+        self.resend_count = 0
+
+    async def send(
+        self, path: str, body: Any, first: str | None = None, timeout_s: float = 10.0
+    ) -> CallAnswer:
+        """Return the first definite answer; `first` is the instance asked first."""
+        names = self.group.names("control")
+        names.sort(key=lambda name: name != first)
+        deadline_s = time.monotonic() + timeout_s
+        for name in itertools.cycle(names):
+            assert time.monotonic() < deadline_s, f"no answer within {timeout_s} s"
+            answer = await self.send_once(name, path, body)
+            if answer is not None and answer.status not in (421, 503, 504):
+                return answer
+            self.resend_count += 1
+            await asyncio.sleep(POLL_S / 5)
+        raise AssertionError("there is no control instance")
+
+    async def send_once(
+        self, name: str, path: str, body: Any, timeout_ms: int = 1_500
+    ) -> CallAnswer | None:
+        """Return the answer of one instance, or None if there is none."""
+        url = f"http://{self.group.admin(name)}/v1/environments/rota-desk/{path}"
+        try:
+            return await call(
+                "POST", url, body=body, token=self.token, timeout_ms=timeout_ms
+            )
+        except CardamomrunError:
+            return None
+
+    async def audit(self) -> list[AuditEntry]:
+        """Return the whole audit trail from the leader."""
+        entries: list[AuditEntry] = []
+        while True:
+            answer = await self.group.control(
+                "GET", f"/v1/audit?from={len(entries) + 1}"
+            )
+            assert answer.status == 200, answer
+            entries += [AuditEntry(**entry) for entry in answer.body["entries"]]
+            if len(entries) == answer.body["last_number"]:
+                return entries
+
+
+class Observer:
+    """Samples which version of an environment instances have in force."""
+
+    def __init__(self, group: Processes, names: list[str], environment: str) -> None:
+        self._group = group
+        self._environment = environment
+        self.digests: set[str] = set()
+        # Versions as first seen by instance, with the time of the sample.
+        self.seen: dict[str, list[tuple[float, int]]] = {name: [] for name in names}
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def __aenter__(self) -> "Observer":
+        self._tasks = [asyncio.create_task(self._sample(name)) for name in self.seen]
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def version(self, name: str) -> int:
+        """Return the version last seen at an instance; 0 if there was none."""
+        return self.seen[name][-1][1] if self.seen[name] else 0
+
+    async def has_reached(self, name: str, version: int) -> bool:
+        """Return True once an instance was seen with at least this version."""
+        return self.version(name) >= version
+
+    def reached_s(self, name: str, version: int) -> float:
+        """Return when an instance was first seen with at least this version."""
+        return next((at for at, seen in self.seen[name] if seen >= version), math.inf)
+
+    def assert_never_older(self) -> None:
+        """Fail if an instance was seen with an older version than before."""
+        for name, samples in self.seen.items():
+            versions = [version for _, version in samples]
+            assert versions == sorted(versions), f"{name} went back: {versions}"
+
+    async def _sample(self, name: str) -> None:
+        while True:
+            try:
+                status = await self._group.status(name)
+            except CardamomrunError:
+                status = {}
+            held = status.get("environments", {}).get(self._environment)
+            if held is not None:
+                self.digests.add(held["digest"])
+                if held["version"] != self.version(name):
+                    self.seen[name].append((time.monotonic(), held["version"]))
+            await asyncio.sleep(POLL_S)
