Test a leader that is cut off or frozen, through a relay

Cause: nothing proved that a leader behind a one-way cut, or frozen for longer than its lease, stops leading. Nodes connect directly, so a test could not cut one direction between two processes. Ruled out: a relay address in seeds and voters only; member records name the listener's address, and nodes prefer it.

--- a/packages/cardamomrun-base/src/cardamomrun_base/settings.py
+++ b/packages/cardamomrun-base/src/cardamomrun_base/settings.py
@@ -113,6 +113,7 @@
     announcement_ttl_ms: Annotated[int, Field(ge=200, le=60_000)] = 2_500
     idempotency_retention_ms: Annotated[int, Field(ge=1_000, le=86_400_000)] = 600_000
     roster_settle_ms: Annotated[int, Field(ge=100, le=600_000)] = 3_000
+    advertised_peer_address: PeerAddress | None = None
 
     @property
     def front_address(self) -> str:
@@ -126,9 +127,14 @@
 
     @property
     def peer_address(self) -> str:
-        """Address for other nodes, `host:port`."""
+        """Address of the peer listener, `host:port`."""
         return f"{self.host}:{self.peer_port}"
 
+    @property
+    def published_peer_address(self) -> str:
+        """Address that other nodes use; differs from the listener's behind a relay."""
+        return self.advertised_peer_address or self.peer_address
+
 
 _settings_adapter = TypeAdapter(NodeSettings)
 
--- a/packages/cardamomrun-control/src/cardamomrun_control/publisher.py
+++ b/packages/cardamomrun-control/src/cardamomrun_control/publisher.py
@@ -99,7 +99,7 @@
             settings.instance_id,
             self._agreement.term,
             settings.admin_address,
-            settings.peer_address,
+            settings.published_peer_address,
         )
         held = self._fleet.store.get(Kind.LEADER, LEADER_KEY)
         counter = 1
--- a/packages/cardamomrun-fleet/src/cardamomrun_fleet/fleet.py
+++ b/packages/cardamomrun-fleet/src/cardamomrun_fleet/fleet.py
@@ -499,8 +499,9 @@
         if self._probed is not None:
             wanted.setdefault(self._probed.peer_address, self._probed.instance_id)
         known = {body.peer_address for body in members.values()}
+        known |= {self._settings.peer_address, self._settings.published_peer_address}
         for address in (*self._settings.fleet.seeds, *self._seed_addresses()):
-            if address not in known and address != self._settings.peer_address:
+            if address not in known:
                 wanted.setdefault(address, "")
         self._wanted = wanted
 
--- a/packages/cardamomrun-fleet/src/cardamomrun_fleet/membership.py
+++ b/packages/cardamomrun-fleet/src/cardamomrun_fleet/membership.py
@@ -155,7 +155,7 @@
             roles=tuple(str(role) for role in settings.roles),
             front_address=settings.front_address,
             admin_address=settings.admin_address,
-            peer_address=settings.peer_address,
+            peer_address=settings.published_peer_address,
             phase=self.phase,
         )
 
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -15,9 +15,12 @@
 
 from cardamomrun_base.errors import CardamomrunError, UnavailableError
 from cardamomrun_base.http_client import CallAnswer, call
+from cardamomrun_base.settings import NodeSettings, load_settings
 from cardamomrun_bench.caller import CallerError
 from cardamomrun_control.audit import AuditEntry
 
+from .relay_between_nodes import Relays
+
 __all__ = [
     "OPERATOR_TOKEN",
     "Observer",
@@ -28,6 +31,7 @@
 ]
 
 FRONT_PORT, ADMIN_PORT, PEER_PORT, BACKEND_PORT = 18080, 18081, 18082, 18090
+RELAY_PORT = 18083
 OPERATOR_TOKEN = "operator-token-of-the-tests"
 ANNOUNCEMENT_TOKEN = "announcement-token-of-the-tests"
 FAILURE_DOMAINS = ("kelowna-a", "kelowna-b", "vernon-a", "penticton-a")
@@ -93,6 +97,8 @@
         self._running: dict[str, subprocess.Popen[bytes]] = {}
         # Keys added to the settings of all control instances.
         self.control_settings: dict[str, Any] = {}
+        # Nodes reach each other through relays; see `relay`.
+        self.is_relayed = False
         self._write_secrets()
 
     def names(self, role: str) -> list[str]:
@@ -108,8 +114,14 @@
         return f"{self.hosts[name]}:{ADMIN_PORT}"
 
     def peer(self, name: str) -> str:
-        """Return the peer address of an instance."""
-        return f"{self.hosts[name]}:{PEER_PORT}"
+        """Return the peer address that other instances use."""
+        return f"{self.hosts[name]}:{RELAY_PORT if self.is_relayed else PEER_PORT}"
+
+    async def relay(self, relays: Relays) -> None:
+        """Put a relay in front of each peer listener; call before nodes start."""
+        self.is_relayed = True
+        for name, host in self.hosts.items():
+            await relays.listen(name, self.peer(name), f"{host}:{PEER_PORT}")
 
     def start(self, name: str, **changes: Any) -> None:
         """Start a node; `changes` replace keys of its settings."""
@@ -206,6 +218,14 @@
             return None
         return answer.body if answer.status == 200 else None
 
+    def observer_settings(self, name: str) -> NodeSettings:
+        """Return the settings of an entry instance that runs inside a test."""
+        self.hosts[name] = f"{self._network}.90"
+        path = self.folder / f"{name}.jsonc"
+        path.write_text(json.dumps(self._settings(name)))
+        del self.hosts[name]
+        return load_settings(path)
+
     async def servers(self, entry: str) -> dict[str, Any]:
         """Return the backend servers of rota-desk as an entry instance sees them."""
         path = "/v1/environments/rota-desk/production/servers"
@@ -245,6 +265,8 @@
             "directory_ttl_ms": 1_000,
             "roster_settle_ms": 500,
         }
+        if self.is_relayed:
+            settings["advertised_peer_address"] = self.peer(name)
         if name.startswith("control"):
             data_folder = self.folder / "data" / name
             data_folder.mkdir(parents=True, exist_ok=True)
--- a/tests/test_control_faults.py
+++ b/tests/test_control_faults.py
@@ -2,14 +2,22 @@
 
 import asyncio
 import base64
+import contextlib
 import json
 import random
+import signal
 import time
 from functools import partial
 
 import pytest
 
+from cardamomrun_base.clock import SystemClock
+from cardamomrun_base.errors import CardamomrunError
+from cardamomrun_base.http_client import call
+from cardamomrun_base.model import Kind
+from cardamomrun_bench.caller import Caller, CallerError
 from cardamomrun_control.audit import verify
+from cardamomrun_fleet.fleet import Fleet
 
 from .processes import (
     OPERATOR_TOKEN,
@@ -18,6 +26,7 @@
     document,
     until,
 )
+from .relay_between_nodes import Relays
 
 TRIAL = "rota-desk/trial"
 # Targets of docs/design.md, sections 1 (P7) and 7.
@@ -262,3 +271,184 @@
         assert set(winners) == set(operators), "the race had one fixed winner"
 
     asyncio.run(scenario())
+
+
+async def read_trial(group, name, timeout_ms=1_500):
+    """Return the answer of one control instance to a read that must be current."""
+    url = f"http://{group.admin(name)}/v1/environments/rota-desk/trial"
+    try:
+        return await call("GET", url, token=OPERATOR_TOKEN, timeout_ms=timeout_ms)
+    except CardamomrunError:
+        return None
+
+
+async def assert_not_leading(group, name):
+    """Fail if an instance accepts a change, serves a read or holds the lease."""
+    assert not (await group.control_status(name))["holds_lease"]
+    read = await read_trial(group, name)
+    assert read is None or read.status in (421, 503), read
+    body = change(5_000, 1, "by-the-old-leader")
+    answer = await Operator(group).send_once(name, "trial/apply", body)
+    assert answer is None or answer.status in (421, 503), answer
+
+
+@pytest.mark.parametrize("direction", ["outgoing", "incoming", "both"])
+def test_a_leader_that_is_cut_off_stops_leading(processes, record_property, direction):
+    """Guards against two instances that accept changes or serve reads at once."""
+
+    async def scenario(relays):
+        group = processes(control_count=3, entry_count=2)
+        await group.relay(relays)
+        old = await start(group)
+        operator = Operator(group)
+        first = change(1, 0, "first")
+        assert (await operator.send("trial/apply", first, old)).status == 200
+        others = [name for name in group.hosts if name != old]
+        rest = [name for name in others if name in group.names("control")]
+        async with Observer(group, list(group.hosts), TRIAL) as observer:
+            for name in group.hosts:
+                await until(partial(observer.has_reached, name, 1), IN_FORCE_S)
+            if direction != "incoming":
+                relays.cut([old], others)
+            if direction != "outgoing":
+                relays.cut(others, [old])
+            # The old leader may not know yet that it is cut off.
+            second = change(2, 1, "second")
+            lost, new = await asyncio.gather(
+                operator.send_once(old, "trial/apply", second),
+                until(partial(group.leader, rest), LEADER_CHANGE_S),
+            )
+            assert lost is None or lost.status in (421, 503, 504), lost
+            answer = await operator.send("trial/apply", second, new)
+            assert (answer.status, answer.body["version"]) == (200, 2)
+            for _ in range(5):
+                await assert_not_leading(group, old)
+            reachable = [name for name in others if name.startswith("entry")]
+            for name in [*rest, *reachable]:
+                await until(partial(observer.has_reached, name, 2), IN_FORCE_S)
+            relays.heal()
+            healed_s = time.monotonic()
+            await until(partial(observer.has_reached, old, 2), IN_FORCE_S)
+            figures(
+                record_property,
+                direction=direction,
+                in_force_after_heal_s=round(time.monotonic() - healed_s, 2),
+            )
+        observer.assert_never_older()
+        trail = await operator.audit()
+        verify(trail)
+        done = [e for e in trail if (e.action, e.outcome) == ("apply", "done")]
+        assert [e.to_version for e in done] == [1, 2]
+
+    async def relayed():
+        async with Relays() as relays:
+            await scenario(relays)
+
+    asyncio.run(relayed())
+
+
+class RecordObserver:
+    """A member of the fleet inside the test that sees all records of ejections."""
+
+    def __init__(self, group):
+        self.fleet = Fleet(group.observer_settings("entry-90"), SystemClock())
+        # Time of arrival, decider and count of ejected servers.
+        self.grants = []
+
+    async def __aenter__(self):
+        self.fleet.store.subscribe(Kind.EJECTIONS, self._note)
+        await self.fleet.start()
+        return self
+
+    async def __aexit__(self, *_):
+        await self.fleet.stop()
+
+    def _note(self, record):
+        body = record.content
+        granted = (time.monotonic(), body.decider_id, len(body.server_ids))
+        self.grants.append(granted)
+
+    def count(self, decider, since_s=0.0):
+        """Return how many grants that eject a server a decider has sent."""
+        return sum(
+            at >= since_s and by == decider and ejected > 0
+            for at, by, ejected in self.grants
+        )
+
+    async def has_renewals(self, decider):
+        return self.count(decider) >= 3
+
+
+async def send_traffic(group):
+    """Send requests through all entry instances until cancelled."""
+    caller = Caller()
+    try:
+        while True:
+            for entry in group.names("entry"):
+                headers = {"Host": "rota-desk.example"}
+                with contextlib.suppress(CallerError):
+                    await caller.request(group.front(entry), "GET", "/rota", headers)
+    finally:
+        caller.close()
+
+
+def test_a_leader_frozen_for_longer_than_its_lease(processes, deploy, record_property):
+    """Guards against a leader that goes on where it stopped when its process wakes."""
+
+    async def scenario():
+        group = processes(control_count=3, entry_count=3)
+        old = await start(group)
+        await deploy(group)
+        for number in range(1, 5):
+            faults = {"mode": "fail", "ratio": 1.0} if number == 1 else {}
+            group.start_backend(f"b{number}", faults=faults)
+        traffic = asyncio.create_task(send_traffic(group))
+        async with RecordObserver(group) as records:
+            await until(partial(records.has_renewals, old))
+            await freeze(group, old, records)
+        traffic.cancel()
+
+    async def freeze(group, old, records):
+        operator = Operator(group)
+        rest = [name for name in group.names("control") if name != old]
+        group.signal(old, signal.SIGSTOP)
+        frozen_s = time.monotonic()
+        # These wait in the old leader's listener until it wakes.
+        late = change(8, 1, "late")
+        waiting = asyncio.gather(
+            operator.send_once(old, "trial/apply", late, 20_000),
+            read_trial(group, old, 20_000),
+        )
+        new = await until(partial(group.leader, rest), LEADER_CHANGE_S)
+        no_leader_s = time.monotonic() - frozen_s
+        answer = await operator.send("trial/apply", change(9, 1, "newer"), new)
+        assert (answer.status, answer.body["version"]) == (200, 2)
+        # Longer than the silence after which peers close their links.
+        await until(partial(has_passed, frozen_s + 3.5))
+        woken_s = time.monotonic()
+        async with Observer(group, [old], TRIAL) as observer:
+            group.signal(old, signal.SIGCONT)
+            for answer in await waiting:
+                assert answer is None or answer.status in (421, 503), answer
+            await assert_not_leading(group, old)
+            await until(partial(observer.has_reached, old, 2), IN_FORCE_S)
+            in_force_s = time.monotonic() - woken_s
+            # The new decider grants after a full lease; until then the old one could.
+            await until(partial(has_passed, woken_s + 3.0))
+        observer.assert_never_older()
+        assert records.count(old, woken_s) == 0
+        trail = await operator.audit()
+        verify(trail)
+        digests = [e.digest for e in trail if e.operator and e.outcome == "done"]
+        assert len(digests) == 3, trail
+        figures(
+            record_property,
+            until_new_leader_s=round(no_leader_s, 2),
+            in_force_after_wake_s=round(in_force_s, 2),
+        )
+
+    asyncio.run(scenario())
+
+
+async def has_passed(at_s):
+    return time.monotonic() >= at_s
