--- a/packages/cardamomrun-base/src/cardamomrun_base/settings.py
+++ b/packages/cardamomrun-base/src/cardamomrun_base/settings.py
@@ -115,6 +115,7 @@
     roster_settle_ms: Annotated[int, Field(ge=100, le=600_000)] = 3_000
     # Control may be away for hours, during which keepers go on with the last roster.
     roster_lease_ms: Annotated[int, Field(ge=1_000, le=604_800_000)] = 21_600_000
+    advertised_peer_address: PeerAddress | None = None
 
     @property
     def front_address(self) -> str:
@@ -128,9 +129,14 @@
 
     @property
     def peer_address(self) -> str:
-        """Address for other nodes, `host:port`."""
+        """Address of the peer listener, `host:port`."""
         return f"{self.host}:{self.peer_port}"
 
+    @property
+    def published_peer_address(self) -> str:
+        """Address that other nodes use; differs from the listener's behind a relay."""
+        return self.advertised_peer_address or self.peer_address
+
 
 _settings_adapter = TypeAdapter(NodeSettings)
 
--- /dev/null
+++ b/tests/test_control_faults.py
@@ -0,0 +1,454 @@
+"""The control state keeps its promises while processes and links fail."""
+
+import asyncio
+import base64
+import contextlib
+import json
+import random
+import signal
+import time
+from functools import partial
+
+import pytest
+
+from cardamomrun_base.clock import SystemClock
+from cardamomrun_base.errors import CardamomrunError
+from cardamomrun_base.http_client import call
+from cardamomrun_base.model import Kind
+from cardamomrun_bench.caller import Caller, CallerError
+from cardamomrun_control.audit import verify
+from cardamomrun_fleet.fleet import Fleet
+
+from .processes import (
+    OPERATOR_TOKEN,
+    Observer,
+    Operator,
+    document,
+    until,
+)
+from .relay_between_nodes import Relays
+
+TRIAL = "rota-desk/trial"
+# Targets of docs/design.md, sections 1 (P7) and 7.
+IN_FORCE_S = 4.0
+LEADER_CHANGE_S = 3.0
+
+
+def change(number, expected, mark):
+    """Return a change to the trial whose document has bytes of its own."""
+    data = json.dumps(document(customer_header=f"Customer-{mark}")).encode()
+    return {
+        "document": base64.b64encode(data).decode(),
+        "change_number": number,
+        "expected_version": expected,
+    }
+
+
+async def start(group):
+    """Start all nodes and return the leader once all of them answer."""
+    group.start_all()
+    for name in group.hosts:
+        await until(partial(group.status, name))
+    return await until(group.leader)
+
+
+def percentile(values, ratio):
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(ratio * len(ordered)))]
+
+
+def figures(record_property, **values):
+    """Keep measured figures with the test; `-rA -s` or a JUnit report shows them."""
+    for name, value in values.items():
+        record_property(name, value)
+    print(json.dumps(values))
+
+
+class Killer:
+    """Kills the leader at random points and starts it again."""
+
+    def __init__(self, group, rng, kill_count):
+        self.group, self.rng, self.left = group, rng, kill_count
+        # From the kill until another instance holds the lease.
+        self.gaps = []
+
+    async def run(self):
+        while self.left:
+            self.left -= 1
+            await asyncio.sleep(self.rng.uniform(0.2, 0.7))
+            leader = await until(self.group.leader)
+            self.group.kill(leader)
+            killed_s = time.monotonic()
+            await until(self.group.leader, LEADER_CHANGE_S)
+            self.gaps.append((killed_s, time.monotonic()))
+            self.group.start(leader)
+            await until(partial(self.group.control_status, leader))
+
+
+async def changes_under_kills(group, seed, kill_count, record_property):
+    """Apply changes one after another until the killer has finished."""
+    await start(group)
+    operator, rng = Operator(group), random.Random(seed)
+    entries = group.names("entry")
+    accepted, accept_s, number, refused = [], [], 0, set()
+    killer = Killer(group, rng, kill_count)
+    async with Observer(group, entries, TRIAL) as observer:
+        killing = asyncio.create_task(killer.run())
+        while not killing.done():
+            number += 1
+            body = change(number, len(accepted), f"accepted-{number}")
+            sent_s = time.monotonic()
+            answer = await operator.send("trial/apply", body)
+            answered_s = time.monotonic()
+            assert answer.status == 200, answer
+            assert answer.body["version"] == len(accepted) + 1
+            accepted.append((answer.body["digest"], answered_s))
+            accept_s.append(answered_s - sent_s)
+            again = await operator.send("trial/apply", body)
+            assert again == answer
+            if number % 5 == 0:
+                wrong = change(10_000 + number, 0, f"refused-{number}")
+                answer = await operator.send("trial/apply", wrong)
+                assert answer.status == 409
+                assert answer.body["current_version"] == len(accepted)
+                refused.add(number)
+        await killing
+        last = len(accepted)
+        for name in entries:
+            await until(partial(observer.has_reached, name, last), IN_FORCE_S)
+    observer.assert_never_older()
+    assert observer.digests <= {digest for digest, _ in accepted}
+    in_force_s = in_force_times(observer, accepted, killer.gaps)
+    assert max(in_force_s) <= IN_FORCE_S
+    trail = await operator.audit()
+    verify(trail)
+    done = [e for e in trail if (e.action, e.outcome) == ("apply", "done")]
+    assert [e.digest for e in done] == [digest for digest, _ in accepted]
+    assert [e.to_version for e in done] == list(range(1, last + 1))
+    answer = await group.control("GET", "/v1/environments/rota-desk/trial/history")
+    history = [version["digest"] for version in answer.body["versions"]]
+    assert history == [digest for digest, _ in accepted][-len(history) :]
+    gaps_s = [until_s - from_s for from_s, until_s in killer.gaps]
+    figures(
+        record_property,
+        entry_count=len(entries),
+        change_count=last,
+        refused_count=len(refused),
+        resend_count=operator.resend_count,
+        no_leader_s=[round(gap, 2) for gap in gaps_s],
+        accept_ms_p50=round(percentile(accept_s, 0.5) * 1_000, 1),
+        accept_ms_p99=round(percentile(accept_s, 0.99) * 1_000, 1),
+        in_force_ms_p50=round(percentile(in_force_s, 0.5) * 1_000, 1),
+        in_force_ms_p99=round(percentile(in_force_s, 0.99) * 1_000, 1),
+    )
+
+
+def in_force_times(observer, accepted, gaps):
+    """Return seconds from each answer, or from the end of a gap without a leader."""
+    times = []
+    for version, (_, answered_s) in enumerate(accepted, 1):
+        since_s = answered_s
+        for from_s, until_s in gaps:
+            if from_s <= answered_s <= until_s:
+                since_s = until_s
+        for name in observer.seen:
+            times.append(max(0.0, observer.reached_s(name, version) - since_s))
+    return times
+
+
+def test_changes_survive_kills_of_the_leader(processes, record_property):
+    """Guards against a change that is lost, made twice or reverted by a new leader."""
+    group = processes(control_count=3, entry_count=3)
+    asyncio.run(changes_under_kills(group, 1, 3, record_property))
+
+
+@pytest.mark.soak
+@pytest.mark.timeout(600)
+@pytest.mark.parametrize("seed", range(2, 6))
+def test_changes_survive_many_kills_of_the_leader(processes, record_property, seed):
+    """Guards against the same with more points at which the leader is killed."""
+    group = processes(control_count=3, entry_count=8)
+    asyncio.run(changes_under_kills(group, seed, 15, record_property))
+
+
+def test_instances_that_were_down_for_300_changes(processes, record_property):
+    """Guards against a replay or an old version after a long absence."""
+
+    async def scenario():
+        group = processes(control_count=3, entry_count=3)
+        group.control_settings = {"snapshot_entry_count": 100}
+        leader = await start(group)
+        operator = Operator(group)
+        absent = ["entry-3", next(n for n in group.names("control") if n != leader)]
+        async with Observer(group, [*absent, "entry-1"], TRIAL) as observer:
+            for version in range(1, 4):
+                body = change(version, version - 1, version)
+                assert (await operator.send("trial/apply", body)).status == 200
+            for name in absent:
+                await until(partial(observer.has_reached, name, 3))
+                group.kill(name)
+            for version in range(4, 304):
+                body = change(version, version - 1, version)
+                answer = await operator.send("trial/apply", body, leader)
+                assert answer.status == 200
+            recovery_s = {}
+            for name in absent:
+                started_s = time.monotonic()
+                group.start(name)
+                await until(partial(group.status, name))
+                await until(partial(observer.has_reached, name, 303), IN_FORCE_S)
+                recovery_s[name] = round(time.monotonic() - started_s, 2)
+            observer.assert_never_older()
+            # Straight from the old version to the newest, so not by replay.
+            assert [v for _, v in observer.seen["entry-3"]][-2:] == [3, 303]
+            caught_up = await until(lambda: control_at(group, absent[1]), IN_FORCE_S)
+            data = group.folder / "data" / absent[1] / "snapshot"
+            assert data.exists()
+            figures(
+                record_property,
+                change_count=300,
+                recovery_from_process_start_s=recovery_s,
+                log_entry_count=caught_up["last_index"],
+            )
+
+    asyncio.run(scenario())
+
+
+async def control_at(group, name):
+    """Return an instance's status once it has committed what the leader has."""
+    leader = await group.leader()
+    newest = leader and await group.control_status(leader)
+    status = await group.control_status(name)
+    if not newest or not status:
+        return None
+    return status if status["commit_index"] >= newest["commit_index"] else None
+
+
+def test_racing_operators_have_one_winner(processes):
+    """Guards against two operators who both take their document for the current one."""
+
+    async def scenario():
+        group = processes(control_count=3, entry_count=0)
+        await start(group)
+        rng = random.Random(4)
+        operators = {
+            "tester": Operator(group),
+            "second": Operator(group, f"second-{OPERATOR_TOKEN}"),
+        }
+        winners = []
+        for version in range(40):
+            firsts = rng.sample(group.names("control"), 2)
+            # Equal numbers in every second round.
+            numbers = (version, version) if version % 2 else (version, 1_000 + version)
+            answers = await asyncio.gather(
+                *(
+                    operator.send(
+                        "trial/apply",
+                        change(number, version, f"{name}-{version}"),
+                        first,
+                    )
+                    for (name, operator), number, first in zip(
+                        operators.items(), numbers, firsts, strict=True
+                    )
+                )
+            )
+            by_status = {answer.status: answer.body for answer in answers}
+            assert set(by_status) == {200, 409}, answers
+            assert by_status[200]["version"] == version + 1
+            assert by_status[409]["error"] == "version-conflict"
+            assert by_status[409]["current_version"] == version + 1
+            assert by_status[409]["current_digest"] == by_status[200]["digest"]
+            statuses = [answer.status for answer in answers]
+            winners.append(list(operators)[statuses.index(200)])
+        trail = await operators["tester"].audit()
+        verify(trail)
+        tried = [e for e in trail if e.action == "apply"]
+        done = [e.operator for e in tried if e.outcome == "done"]
+        assert done == winners
+        assert len(tried) == 80
+        for first, second in zip(tried[::2], tried[1::2], strict=True):
+            assert {first.operator, second.operator} == set(operators)
+        assert set(winners) == set(operators), "the race had one fixed winner"
+
+    asyncio.run(scenario())
+
+
+async def read_trial(group, name, timeout_ms=1_500):
+    """Return the answer of one control instance to a read that must be current."""
+    url = f"http://{group.admin(name)}/v1/environments/rota-desk/trial"
+    try:
+        return await call("GET", url, token=OPERATOR_TOKEN, timeout_ms=timeout_ms)
+    except CardamomrunError:
+        return None
+
+
+async def assert_not_leading(group, name):
+    """Fail if an instance accepts a change, serves a read or holds the lease."""
+    assert not (await group.control_status(name))["holds_lease"]
+    read = await read_trial(group, name)
+    assert read is None or read.status in (421, 503), read
+    body = change(5_000, 1, "by-the-old-leader")
+    answer = await Operator(group).send_once(name, "trial/apply", body)
+    assert answer is None or answer.status in (421, 503), answer
+
+
+@pytest.mark.parametrize("direction", ["outgoing", "incoming", "both"])
+def test_a_leader_that_is_cut_off_stops_leading(processes, record_property, direction):
+    """Guards against two instances that accept changes or serve reads at once."""
+
+    async def scenario(relays):
+        group = processes(control_count=3, entry_count=2)
+        await group.relay(relays)
+        old = await start(group)
+        operator = Operator(group)
+        first = change(1, 0, "first")
+        assert (await operator.send("trial/apply", first, old)).status == 200
+        others = [name for name in group.hosts if name != old]
+        rest = [name for name in others if name in group.names("control")]
+        async with Observer(group, list(group.hosts), TRIAL) as observer:
+            for name in group.hosts:
+                await until(partial(observer.has_reached, name, 1), IN_FORCE_S)
+            if direction != "incoming":
+                relays.cut([old], others)
+            if direction != "outgoing":
+                relays.cut(others, [old])
+            # The old leader may not know yet that it is cut off.
+            second = change(2, 1, "second")
+            lost, new = await asyncio.gather(
+                operator.send_once(old, "trial/apply", second),
+                until(partial(group.leader, rest), LEADER_CHANGE_S),
+            )
+            assert lost is None or lost.status in (421, 503, 504), lost
+            answer = await operator.send("trial/apply", second, new)
+            assert (answer.status, answer.body["version"]) == (200, 2)
+            for _ in range(5):
+                await assert_not_leading(group, old)
+            reachable = [name for name in others if name.startswith("entry")]
+            for name in [*rest, *reachable]:
+                await until(partial(observer.has_reached, name, 2), IN_FORCE_S)
+            relays.heal()
+            healed_s = time.monotonic()
+            await until(partial(observer.has_reached, old, 2), IN_FORCE_S)
+            figures(
+                record_property,
+                direction=direction,
+                in_force_after_heal_s=round(time.monotonic() - healed_s, 2),
+            )
+        observer.assert_never_older()
+        trail = await operator.audit()
+        verify(trail)
+        done = [e for e in trail if (e.action, e.outcome) == ("apply", "done")]
+        assert [e.to_version for e in done] == [1, 2]
+
+    async def relayed():
+        async with Relays() as relays:
+            await scenario(relays)
+
+    asyncio.run(relayed())
+
+
+class RecordObserver:
+    """A member of the fleet inside the test that sees all records of ejections."""
+
+    def __init__(self, group):
+        self.fleet = Fleet(group.observer_settings("entry-90"), SystemClock())
+        # Time of arrival, decider and count of ejected servers.
+        self.grants = []
+
+    async def __aenter__(self):
+        self.fleet.store.subscribe(Kind.EJECTIONS, self._note)
+        await self.fleet.start()
+        return self
+
+    async def __aexit__(self, *_):
+        await self.fleet.stop()
+
+    def _note(self, record):
+        body = record.content
+        granted = (time.monotonic(), body.decider_id, len(body.server_ids))
+        self.grants.append(granted)
+
+    def count(self, decider, since_s=0.0):
+        """Return how many grants that eject a server a decider has sent."""
+        return sum(
+            at >= since_s and by == decider and ejected > 0
+            for at, by, ejected in self.grants
+        )
+
+    async def has_renewals(self, decider):
+        return self.count(decider) >= 3
+
+
+async def send_traffic(group):
+    """Send requests through all entry instances until cancelled."""
+    caller = Caller()
+    try:
+        while True:
+            for entry in group.names("entry"):
+                headers = {"Host": "rota-desk.example"}
+                with contextlib.suppress(CallerError):
+                    await caller.request(group.front(entry), "GET", "/rota", headers)
+    finally:
+        caller.close()
+
+
+def test_a_leader_frozen_for_longer_than_its_lease(processes, deploy, record_property):
+    """Guards against a leader that goes on where it stopped when its process wakes."""
+
+    async def scenario():
+        group = processes(control_count=3, entry_count=3)
+        old = await start(group)
+        await deploy(group)
+        for number in range(1, 5):
+            faults = {"mode": "fail", "ratio": 1.0} if number == 1 else {}
+            group.start_backend(f"b{number}", faults=faults)
+        traffic = asyncio.create_task(send_traffic(group))
+        async with RecordObserver(group) as records:
+            await until(partial(records.has_renewals, old))
+            await freeze(group, old, records)
+        traffic.cancel()
+
+    async def freeze(group, old, records):
+        operator = Operator(group)
+        rest = [name for name in group.names("control") if name != old]
+        group.signal(old, signal.SIGSTOP)
+        frozen_s = time.monotonic()
+        # These wait in the old leader's listener until it wakes.
+        late = change(8, 1, "late")
+        waiting = asyncio.gather(
+            operator.send_once(old, "trial/apply", late, 20_000),
+            read_trial(group, old, 20_000),
+        )
+        new = await until(partial(group.leader, rest), LEADER_CHANGE_S)
+        no_leader_s = time.monotonic() - frozen_s
+        answer = await operator.send("trial/apply", change(9, 1, "newer"), new)
+        assert (answer.status, answer.body["version"]) == (200, 2)
+        # Longer than the silence after which peers close their links.
+        await until(partial(has_passed, frozen_s + 3.5))
+        woken_s = time.monotonic()
+        async with Observer(group, [old], TRIAL) as observer:
+            group.signal(old, signal.SIGCONT)
+            for answer in await waiting:
+                assert answer is None or answer.status in (421, 503), answer
+            await assert_not_leading(group, old)
+            await until(partial(observer.has_reached, old, 2), IN_FORCE_S)
+            in_force_s = time.monotonic() - woken_s
+            # The new decider grants after a full lease; until then the old one could.
+            await until(partial(has_passed, woken_s + 3.0))
+        observer.assert_never_older()
+        assert records.count(old, woken_s) == 0
+        trail = await operator.audit()
+        verify(trail)
+        digests = [e.digest for e in trail if e.operator and e.outcome == "done"]
+        assert len(digests) == 3, trail
+        figures(
+            record_property,
+            until_new_leader_s=round(no_leader_s, 2),
+            in_force_after_wake_s=round(in_force_s, 2),
+        )
+
+    asyncio.run(scenario())
+
+
+async def has_passed(at_s):
+    return time.monotonic() >= at_s
