Fix the audit, voters and status commands of the operators

Unknown paths of the admin listener had HTML answers.

Ruled out: a new answer field of control for the chain; the one who verifies has to compute the chain itself.

--- a/packages/cardamomrun-node/src/cardamomrun_node/admin.py
+++ b/packages/cardamomrun-node/src/cardamomrun_node/admin.py
@@ -22,7 +22,11 @@
     def __init__(self, settings: NodeSettings, routes: list[Any]) -> None:
         self._settings = settings
         self._server = HTTPServer(
-            Application(routes, log_function=_log_nothing),
+            Application(
+                routes,
+                default_handler_class=UnknownPathHandler,
+                log_function=_log_nothing,
+            ),
             max_body_size=MAX_BODY_BYTES,
         )
 
@@ -42,6 +46,21 @@
         await self._server.close_all_connections()
 
 
+class UnknownPathHandler(RequestHandler):
+    """Answers paths that no part serves on this node."""
+
+    def prepare(self) -> None:
+        """Answer 404 in the form of all errors of the admin listener."""
+        self.set_status(404)
+        self.finish(
+            {
+                "error": "not-found",
+                "message": "This node does not serve this path.",
+                "remedy": "docs/interfaces.md lists the paths of each role",
+            }
+        )
+
+
 class MetricsHandler(RequestHandler):
     """`GET /metrics` in the Prometheus text format."""
 
--- a/packages/cardamomrun-operators/src/cardamomrun_operators/commands.py
+++ b/packages/cardamomrun-operators/src/cardamomrun_operators/commands.py
@@ -13,8 +13,9 @@
 from cardamomrun_base.errors import ConflictError, UsageError
 from cardamomrun_base.http_client import call
 from cardamomrun_base.model import Stage
+from cardamomrun_control.audit import GENESIS_HASH, AuditEntry, AuditError, verify
 from cardamomrun_operators.control_client import ControlClient, NotFoundError
-from cardamomrun_operators.output import render
+from cardamomrun_operators.output import render, render_status
 from cardamomrun_operators.settings import DEFAULT_PATH, load_operator_settings
 
 __all__ = ["Commands"]
@@ -23,9 +24,11 @@
 class Commands:
     """Operate a cardamomrun fleet: one document per environment.
 
-    All commands take --json for machine-readable output. Commands that speak to
-    control take --settings FILE (default cardamomrun.jsonc). Exit codes are listed in
-    docs/interfaces.md.
+    All commands take --json for machine-readable output, also of errors. Commands that
+    speak to control take --settings FILE (default cardamomrun.jsonc). Exit codes are
+    listed in docs/interfaces.md.
+
+    Example: cardamomrun --settings /etc/cardamomrun.jsonc status --json
     """
 
     def __init__(self, settings: str = DEFAULT_PATH, json: bool = False) -> None:
@@ -154,7 +157,8 @@
 
         Example: cardamomrun status
         """
-        self._print(self._call("GET", "/v1/in-force"))
+        answer = self._call("GET", "/v1/in-force")
+        print(render(answer, True) if self._json else render_status(answer))
 
     def control(self) -> None:
         """Show the control instances and whether it is safe to take one away.
@@ -166,26 +170,35 @@
     def voters(self, action: str, instance_id: str, peer_address: str = "") -> None:
         """Add or remove one control instance (action: add or remove).
 
+        A change of voters has no change number: after a lost answer, look at the
+        command `control` before a repetition.
+
         Example: cardamomrun voters add control-4 10.0.0.14:7000
         """
-        body = {
-            "action": action,
-            "instance_id": instance_id,
-            "peer_address": peer_address,
-            "change_number": _new_change_number(),
-        }
+        body = _voters_body(action, instance_id, peer_address)
         self._print(self._call("POST", "/v1/control/voters", body))
 
     def audit(self, start: int = 1) -> None:
         """Print the audit trail from an entry on, and verify its chain.
 
+        Only a trail that is read from entry 1 shows that no earlier entry is missing.
+
         Example: cardamomrun audit --start 100 --json
         """
-        answer = self._call("GET", f"/v1/audit?from={start}")
-        self._print(answer)
-        if answer.get("chain") not in (None, "intact"):
+        entries: list[dict[str, Any]] = []
+        number = max(1, int(start))
+        while True:
+            answer = self._call("GET", f"/v1/audit?from={number}")
+            page = answer["entries"]
+            entries += page
+            number += len(page)
+            if not page or number > answer["last_number"]:
+                break
+        fault = _chain_fault(entries)
+        self._print({"entries": entries, "chain": fault or "intact"})
+        if fault:
             raise ConflictError(
-                f"the audit chain is {answer['chain']}.",
+                f"the audit chain is broken: {fault}.",
                 remedy="compare with another control instance before trusting either",
             )
 
@@ -236,5 +249,29 @@
     return f"/v1/environments/{service}/{stage}"
 
 
+def _voters_body(action: str, instance_id: str, peer_address: str) -> dict[str, str]:
+    if action == "add" and peer_address:
+        return {"add": instance_id, "peer_address": peer_address}
+    if action == "remove" and not peer_address:
+        return {"remove": instance_id}
+    raise UsageError(
+        "voters needs `add INSTANCE_ID PEER_ADDRESS` or `remove INSTANCE_ID`.",
+        remedy="see cardamomrun voters --help",
+    )
+
+
+def _chain_fault(entries: list[dict[str, Any]]) -> str:
+    """Return what is wrong with a stretch of the audit trail, or an empty text."""
+    if not entries:
+        return ""
+    first = entries[0]
+    previous_hash = first["previous_hash"] if first["number"] > 1 else GENESIS_HASH
+    try:
+        verify([AuditEntry(**entry) for entry in entries], previous_hash)
+    except (AuditError, TypeError) as error:
+        return str(error)
+    return ""
+
+
 def _new_change_number() -> int:
     return time.time_ns() // 1_000
--- a/packages/cardamomrun-operators/src/cardamomrun_operators/output.py
+++ b/packages/cardamomrun-operators/src/cardamomrun_operators/output.py
@@ -4,7 +4,7 @@
 from collections.abc import Mapping
 from typing import Any
 
-__all__ = ["render"]
+__all__ = ["render", "render_status"]
 
 
 def render(value: Any, as_json: bool) -> str:
@@ -23,6 +23,29 @@
     return "\n".join(_lines(value))
 
 
+def render_status(answer: Mapping[str, Any]) -> str:
+    """Return the answer of `GET /v1/in-force` for people.
+
+    >>> environment = {"environment": "rota-desk/trial", "version": 3}
+    >>> environment |= {"in_force_count": 1, "behind": {"entry-2": "runs version 2"}}
+    >>> print(render_status({"instance_count": 2, "environments": [environment]}))
+    rota-desk/trial: version 3 is in force on 1 of 2 entry instances
+      entry-2 is behind: runs version 2
+    """
+    count = answer["instance_count"]
+    lines = []
+    for item in sorted(answer["environments"], key=lambda one: one["environment"]):
+        in_force = f"{item['in_force_count']} of {count} entry instances"
+        lines.append(
+            f"{item['environment']}: version {item['version']} is in force on {in_force}"
+        )
+        behind = sorted(item["behind"].items())
+        lines += [f"  {name} is behind: {reason}" for name, reason in behind]
+    if not lines:
+        lines.append(f"no document is in force; the fleet has {count} entry instances")
+    return "\n".join(lines)
+
+
 def _lines(value: Any) -> list[str]:
     if isinstance(value, Mapping):
         return [line for key, item in value.items() for line in _entry(key, item)]
