Export metrics for every goal of the design and log the ids of requests

Cause: the goals of design section 1 (detection time, ejections, floor, added latency) and the state of control had no metric, and a request could not be found in the logs.

Ruled out: a log line for each attempt that succeeds; at 107 requests/s on an instance it would cost more than it tells. Labels by server, customer or key: unbounded.

Change: counters at the places that decide, a collector in the node for what is read from state; logs of failed attempts, won claims and error answers carry request_id.

Conclusion: every measure of section 1 is exported with at most the environment and one fixed label.

--- a/packages/cardamomrun-backends/src/cardamomrun_backends/backends.py
+++ b/packages/cardamomrun-backends/src/cardamomrun_backends/backends.py
@@ -7,6 +7,7 @@
 from cardamomrun_backends.evidence import Evidence
 from cardamomrun_backends.floor import allowed_removals, floor_count
 from cardamomrun_backends.grants import Grants
+from cardamomrun_backends.metrics import EjectionCounts
 from cardamomrun_backends.selection import connection_bound, subset
 from cardamomrun_backends.server_state import ServerState
 from cardamomrun_backends.servers import KnownServers, ServiceServers
@@ -87,6 +88,7 @@
         self._random = randomness or random.Random()
         self._known = KnownServers(clock, fleet)
         self._grants = Grants(clock, fleet.store)
+        self._counts = EjectionCounts()
         self._states: dict[tuple[EnvironmentId, ServerId], ServerState] = {}
         self._subsets: dict[EnvironmentId, _Subset] = {}
         self._granted_before: dict[EnvironmentId, _Granted] = {}
@@ -132,6 +134,7 @@
             return
         state.in_flight_count -= 1
         now_ms = self._clock.now_ms()
+        self._counts.attempt_ended(server, result, now_ms)
         if result is AttemptResult.SHED:
             state.record_shed(now_ms, retry_after_s)
             return
@@ -172,9 +175,9 @@
             announced if document is None else floor_count(document.floor, announced)
         )
         healthy = dict(servers.serving)
-        ejected = allowed_removals(
-            self._grants.ejected(environment), set(healthy), floor
-        )
+        wanted = tuple(n for n in self._grants.ejected(environment) if n in healthy)
+        ejected = allowed_removals(wanted, set(healthy), floor)
+        self._counts.note(environment, wanted, ejected, self._clock.now_ms())
         self._restart_ramps(environment, ejected, servers)
         for server_id in ejected:
             del healthy[server_id]
@@ -289,6 +292,7 @@
         ]
         for key in dropped:
             del self._states[key]
+            self._counts.forget(*key)
 
     def _entry_ids(self) -> tuple[InstanceId, ...]:
         own_id = self._settings.instance_id
--- a/packages/cardamomrun-backends/src/cardamomrun_backends/decider.py
+++ b/packages/cardamomrun-backends/src/cardamomrun_backends/decider.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from cardamomrun_backends.judgement import Decision, ServiceJudgement
+from cardamomrun_backends.metrics import EJECTIONS_GRANTED
 from cardamomrun_backends.profiles import profile_settings
 from cardamomrun_backends.servers import KnownServers
 from cardamomrun_base.clock import Clock
@@ -215,6 +216,9 @@
             _log.warning(f"{environment}: the lease ended; ejections not published")
             return
         self._counter += 1
+        before = service.published or Decision()
+        granted_count = len(set(decision.ejected) - set(before.ejected))
+        EJECTIONS_GRANTED.labels(environment).inc(granted_count)
         service.published = decision
         service.published_ms = self._clock.now_ms()
         self._fleet.store.put(record)
--- a/packages/cardamomrun-control/src/cardamomrun_control/service.py
+++ b/packages/cardamomrun-control/src/cardamomrun_control/service.py
@@ -9,6 +9,7 @@
 from cardamomrun_base.interfaces import Fleet, Leadership
 from cardamomrun_base.settings import NodeSettings
 from cardamomrun_control.agreement import Agreement
+from cardamomrun_control.metrics import watch
 from cardamomrun_control.operator_api import OperatorContext, operator_routes
 from cardamomrun_control.publisher import Publisher
 from cardamomrun_control.state import ControlState
@@ -48,6 +49,7 @@
         """Open the data folder and take part in the agreement."""
         tokens = OperatorTokens(self._settings.operator_tokens_file)
         await self._agreement.start()
+        watch(self._agreement)
         self._context.tokens = tokens
         self._publisher.publish()
         self._task = asyncio.get_running_loop().create_task(self._publisher.run())
--- a/packages/cardamomrun-node/src/cardamomrun_node/main.py
+++ b/packages/cardamomrun-node/src/cardamomrun_node/main.py
@@ -11,6 +11,7 @@
 from cardamomrun_base.errors import CardamomrunError
 from cardamomrun_base.logs import PartLog, start_logs
 from cardamomrun_base.settings import NodeSettings, load_settings
+from cardamomrun_node.metrics import register
 from cardamomrun_node.node import Node
 
 __all__ = ["main"]
@@ -47,6 +48,7 @@
     for number in STOP_SIGNALS:
         loop.add_signal_handler(number, stopping.set)
     node = Node(settings, SystemClock())
+    register(node.fleet, node.environments, node.backends)
     await node.start()
     await stopping.wait()
     for number in STOP_SIGNALS:
--- a/packages/cardamomrun-requests/src/cardamomrun_requests/admission.py
+++ b/packages/cardamomrun-requests/src/cardamomrun_requests/admission.py
@@ -25,6 +25,11 @@
         self._waiting_count = 0
         self._queues: OrderedDict[str, deque[asyncio.Future[None]]] = OrderedDict()
 
+    @property
+    def waiting_count(self) -> int:
+        """Number of requests in the queues."""
+        return self._waiting_count
+
     async def enter(self, customer: str, wait_s: float) -> None:
         """Wait for a slot; end it with `leave`. Raises `RefusedError`."""
         if self._running_count < self.limits.concurrency_count:
--- a/packages/cardamomrun-requests/src/cardamomrun_requests/attempt.py
+++ b/packages/cardamomrun-requests/src/cardamomrun_requests/attempt.py
@@ -10,7 +10,9 @@
 from cardamomrun_base.clock import MS_PER_S
 from cardamomrun_base.documents import Route
 from cardamomrun_base.interfaces import AttemptResult, Environment
+from cardamomrun_base.logs import PartLog
 from cardamomrun_base.model import BackendBody
+from cardamomrun_requests import metrics
 from cardamomrun_requests.body_channel import BodyCutError
 from cardamomrun_requests.deadlines import Deadline
 from cardamomrun_requests.ended import RunState
@@ -24,6 +26,8 @@
 
 __all__ = ["METHODS_WITH_BODY", "AttemptRunner", "Failure", "RequestContext"]
 
+_log = PartLog("upstream")
+
 METHODS_WITH_BODY = frozenset(("POST", "PUT", "PATCH"))
 
 Head = tuple[ResponseStartLine, HTTPHeaders]
@@ -94,15 +98,10 @@
         attempt = self._path.backends.started(server)
         evidence = Evidence()
         try:
-            connection = await self._connect(server, evidence)
-            if isinstance(connection, Failure):
-                return connection
-            evidence.reused = connection.reused
-            try:
-                self._claim.check_start()
-                return await self._exchange(connection, evidence)
-            finally:
-                self._path.pools.release(connection)
+            failure = await self._run(server, evidence)
+            if failure is not None:
+                self._log_failure(server, failure)
+            return failure
         finally:
             if evidence.check is Check.NONE:
                 evidence.report(self._path, attempt)
@@ -113,6 +112,25 @@
                 if evidence.check is Check.DIED:
                     self._deciding = task
 
+    async def _run(self, server: BackendBody, evidence: Evidence) -> Failure | None:
+        connection = await self._connect(server, evidence)
+        if isinstance(connection, Failure):
+            return connection
+        evidence.reused = connection.reused
+        try:
+            self._claim.check_start()
+            return await self._exchange(connection, evidence)
+        finally:
+            self._path.pools.release(connection)
+
+    def _log_failure(self, server: BackendBody, failure: Failure) -> None:
+        _log.info(
+            f"an attempt failed: {failure.kind}",
+            request_id=self._request.request_id,
+            environment=self._context.environment_name,
+            server_id=server.server_id,
+        )
+
     async def wait_decided(self) -> None:
         """Wait for the check of a death, which may quarantine this request."""
         if self._deciding is not None:
@@ -147,7 +165,8 @@
             self._upstream_headers(),
             self._request.body.first(),
         )
-        upload = _Upload(self._path.clock.now_ms())
+        sent_ms = self._path.clock.now_ms()
+        upload = _Upload(sent_ms)
         sending = asyncio.create_task(self._send_body(connection, upload))
         try:
             head = await self._wait_head(answer, sending, upload, evidence)
@@ -155,6 +174,7 @@
             evidence.judge_silence(self._elapsed_ms(upload), self._route)
             raise
         finally:
+            self._state.server_ms += self._path.clock.now_ms() - sent_ms
             await _cancel(sending)
         if isinstance(head, Failure):
             return head
@@ -171,6 +191,12 @@
         await self._pass_on(answer, head, evidence)
         return None
 
+    def _count_added(self) -> None:
+        state = self._state
+        duration_ms = self._path.clock.now_ms() - state.started_ms
+        added_s = max(0.0, duration_ms - state.server_ms) / MS_PER_S
+        metrics.ADDED_SECONDS.labels(self._context.environment_name).observe(added_s)
+
     def _upstream_headers(self) -> HTTPHeaders:
         request = self._request
         headers = end_to_end_headers(request.headers)
@@ -253,6 +279,7 @@
     async def _pass_on(self, answer: Answer, head: Head, evidence: Evidence) -> None:
         """Stream an answer to the caller as it arrives."""
         start_line, headers = head
+        self._count_added()
         await self._reply.start(start_line.code, start_line.reason, headers, "done")
         while True:
             since_ms = self._path.clock.now_ms()
--- a/packages/cardamomrun-requests/src/cardamomrun_requests/ended.py
+++ b/packages/cardamomrun-requests/src/cardamomrun_requests/ended.py
@@ -25,9 +25,14 @@
 
     `maybe_run` is True while bytes of the request may have reached a server that did
     not say that it did not run it; it decides the outcome of every error.
+
+    `started_ms` is the time at which the request could begin, `server_ms` the time for
+    which backend servers let it wait.
     """
 
     maybe_run: bool = False
+    started_ms: float = 0.0
+    server_ms: float = 0.0
 
     def error(
         self,
--- a/packages/cardamomrun-requests/src/cardamomrun_requests/exchange.py
+++ b/packages/cardamomrun-requests/src/cardamomrun_requests/exchange.py
@@ -82,6 +82,12 @@
         await self._reply.finish()
 
     async def _answer_error(self, ended: EndedError) -> None:
+        _log.info(
+            f"answers with {ended.outcome.status} {ended.kind}",
+            request_id=self._request.request_id,
+            environment=self._environment_name,
+            outcome=ended.outcome.tag,
+        )
         if self._reply.started:
             # A part of an answer was sent; only a cut tells the caller.
             raise StreamClosedError
@@ -161,13 +167,16 @@
         if context.deadline.ended():
             raise TimeoutError
         await self._request.body.read_prefix()
+        self._state.started_ms = self._path.clock.now_ms()
         self._check_sendable()
         limits = context.environment.document.limits
         admission = self._path.admission(context.environment)
         try:
             wait_s = context.deadline.remaining_s(limits.queue_wait_ms)
-            await admission.enter(context.customer, wait_s)
+            with metrics.QUEUE_SECONDS.labels(context.environment_name).time():
+                await admission.enter(context.customer, wait_s)
         except RefusedError as refused:
+            metrics.SHED.labels(context.environment_name).inc()
             raise self._state.error(
                 "overload",
                 f"Not admitted: {refused}.",
@@ -205,6 +214,11 @@
         if key:
             scope = (context.environment_name, context.customer, key)
             await claim.win(ClaimKey(hash_parts(*scope), self._request.request_hash()))
+            _log.info(
+                "won the claim of an idempotency key",
+                request_id=self._request.request_id,
+                environment=context.environment_name,
+            )
         elif key is not None or context.route.idempotency_key is KeyRule.REQUIRED:
             raise self._state.error(
                 "idempotency-key",
--- a/packages/cardamomrun-requests/src/cardamomrun_requests/key_claim.py
+++ b/packages/cardamomrun-requests/src/cardamomrun_requests/key_claim.py
@@ -14,6 +14,7 @@
     Won,
 )
 from cardamomrun_base.outcomes import Outcome, Unknown
+from cardamomrun_requests import metrics
 from cardamomrun_requests.ended import EndedError, RunState
 from cardamomrun_requests.request_path import RETRY_AFTER_S, RequestPath
 
@@ -22,6 +23,15 @@
 EARLIER_STATUS = "Cardamomrun-Earlier-Status"
 SETTLE_WAIT_S = 1.0
 
+VERDICTS = {
+    Won: "won",
+    AlreadyDone: "done",
+    StillRunning: "running",
+    UnknownEnd: "unknown",
+    KeyMismatch: "mismatch",
+    NoQuorum: "no-quorum",
+}
+
 
 @dataclass(frozen=True)
 class _EarlierDone(Unknown):
@@ -48,6 +58,7 @@
             # The keepers may grant the key after the caller left.
             self._path.background.spawn(self._release_late(task))
             raise
+        metrics.CLAIMS.labels(VERDICTS[type(result)]).inc()
         if not isinstance(result, Won):
             raise self._error(result)
         self._won = result
--- a/packages/cardamomrun-requests/src/cardamomrun_requests/quarantine.py
+++ b/packages/cardamomrun-requests/src/cardamomrun_requests/quarantine.py
@@ -34,6 +34,7 @@
     backend_key,
 )
 from cardamomrun_base.settings import NodeSettings
+from cardamomrun_requests import metrics
 
 __all__ = ["Connect", "CrashQuarantine"]
 
@@ -142,6 +143,13 @@
         for record in fleet.store.all(Kind.CRASH):
             self._learn_crash(record)
         fleet.store.subscribe(Kind.CRASH, self._learn_crash)
+        metrics.QUARANTINED.set_function(self.quarantined_count)
+
+    def quarantined_count(self) -> int:
+        """Return the number of fingerprints that must not run now."""
+        now_ms = self._clock.now_ms()
+        suspects = list(self._suspects.values())
+        return sum(now_ms < self._quarantined_until_ms(one) for one in suspects)
 
     def is_quarantined(self, environment: EnvironmentId, fingerprint: str) -> bool:
         """Return True if requests with this fingerprint must not run now."""
--- a/packages/cardamomrun-requests/src/cardamomrun_requests/request_path.py
+++ b/packages/cardamomrun-requests/src/cardamomrun_requests/request_path.py
@@ -2,6 +2,7 @@
 
 from cardamomrun_base.clock import Clock
 from cardamomrun_base.interfaces import Backends, Claims, Environment, Quarantine
+from cardamomrun_requests import metrics
 from cardamomrun_requests.admission import Admission
 from cardamomrun_requests.background import Background
 from cardamomrun_requests.retries import RetryBudget
@@ -38,7 +39,11 @@
         """Return the admission of an environment with the limits now in force."""
         limits = environment.document.limits
         name = environment.body.environment
-        admission = self._admissions.setdefault(name, Admission(limits))
+        admission = self._admissions.get(name)
+        if admission is None:
+            admission = self._admissions[name] = Admission(limits)
+            length = metrics.QUEUE_LENGTH.labels(name)
+            length.set_function(lambda: admission.waiting_count)
         admission.limits = limits
         return admission
 
