--- /dev/null
+++ b/tests/test_interfaces.py
@@ -0,0 +1,138 @@
+"""The commands and the settings that docs/interfaces.md shows work as it says."""
+
+import contextlib
+import os
+import re
+import shutil
+import signal
+import subprocess
+import sys
+from dataclasses import MISSING, fields, is_dataclass
+from pathlib import Path
+
+import pytest
+
+from cardamomrun_base.documents import EnvironmentDocument, Route
+from cardamomrun_base.settings import NodeSettings
+
+ROOT = Path(__file__).parent.parent
+PAGE = (ROOT / "docs" / "interfaces.md").read_text()
+WALK_THROUGH = PAGE.split("## 9. Walk-through")[1]
+STEPS = re.findall(r"```bash\n(.*?)```\n\n```text\n(.*?)```", WALK_THROUGH, re.DOTALL)
+MARK = "==== end of step ===="
+WALK_TIMEOUT_S = 60
+
+
+def _free_network() -> str:
+    # The process id keeps runs at the same time on different addresses.
+    return f"127.{20 + os.getpid() % 200}."
+
+
+def _copy_demo(folder: Path) -> None:
+    for path in (ROOT / "demo").iterdir():
+        (folder / path.name).write_text(
+            path.read_text().replace("127.20.", _free_network())
+        )
+
+
+def _run_script(text: str, folder: Path) -> str:
+    """Run a bash script in a process group of its own, which ends with it."""
+    binaries = Path(sys.executable).parent
+    environment = {
+        **os.environ,
+        "PATH": f"{binaries}:{os.environ['PATH']}",
+        "TMPDIR": str(folder),
+    }
+    command = [shutil.which("bash") or "bash", "-euo", "pipefail", "-c", text]
+    with subprocess.Popen(
+        command,
+        cwd=folder,
+        env=environment,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+        start_new_session=True,
+    ) as process:
+        try:
+            output, _ = process.communicate(timeout=WALK_TIMEOUT_S)
+        finally:
+            with contextlib.suppress(ProcessLookupError):
+                os.killpg(process.pid, signal.SIGKILL)
+    assert process.returncode == 0, output
+    return output
+
+
+def _pattern(shown: str) -> str:
+    return r".*?".join(re.escape(part) for part in shown.strip().split("..."))
+
+
+def test_the_walk_through_of_the_page(tmp_path):
+    """Guards against a page whose commands or answers no longer match the fleet."""
+    (tmp_path / "demo").mkdir()
+    _copy_demo(tmp_path / "demo")
+    assert len(STEPS) == WALK_THROUGH.count("```bash")
+    script = "".join(f"{commands}\necho\necho '{MARK}'\n" for commands, _ in STEPS)
+    output = _run_script(script.replace("127.20.", _free_network()), tmp_path)
+    outputs = output.replace("\r", "").split(MARK)
+    assert len(outputs) == len(STEPS) + 1, output
+    for (commands, shown), seen in zip(STEPS, outputs, strict=False):
+        expected = _pattern(shown.replace("127.20.", _free_network()))
+        assert re.fullmatch(expected, seen.strip(), re.DOTALL), (commands, seen)
+
+
+def _documented_rows(first: str, last: str) -> dict[str, list[str]]:
+    """Return the cells of the tables between two headings by the keys they name."""
+    section = PAGE.split(first)[1].split(last)[0]
+    rows = {}
+    for line in section.splitlines():
+        cells = [cell.strip() for cell in line.strip("|").split("|")]
+        if line.startswith("| `"):
+            for key in re.findall(r"`([^`]+)`", cells[0]):
+                rows[key] = cells[1:]
+    return rows
+
+
+def _keys(data_class: type, prefix: str = "") -> dict[str, tuple[object, list]]:
+    """Return default and bounds of each key that the loader accepts."""
+    found: dict[str, tuple[object, list]] = {}
+    hints = {field.name: field for field in fields(data_class)}
+    for name, field in hints.items():
+        kind = field.type
+        inner = [a for a in getattr(kind, "__args__", ()) if is_dataclass(a)]
+        nested = kind if is_dataclass(kind) else (inner[0] if inner else None)
+        if nested is not None and "tuple" not in str(kind):
+            found |= _keys(nested, f"{prefix}{name}.")
+            continue
+        bounds = [
+            value
+            for constraint in getattr(kind, "__metadata__", ())
+            for item in getattr(constraint, "metadata", ())
+            for limit in ("ge", "le")
+            if (value := getattr(item, limit, None)) is not None
+        ]
+        found[f"{prefix}{name}"] = (field.default, bounds)
+    return found
+
+
+@pytest.mark.parametrize(
+    ("data_class", "first", "last"),
+    [
+        (NodeSettings, "## 1. Settings", "## 2. Environment"),
+        (EnvironmentDocument, "## 2. Environment", "A route:"),
+        (Route, "A route:", "## 3. Backend"),
+    ],
+)
+def test_keys_defaults_and_bounds(data_class, first, last):
+    """Guards against keys of settings and documents that differ from the page."""
+    rows = _documented_rows(first, last)
+    keys = _keys(data_class)
+    documented = {key.removesuffix("[]") for key in rows}
+    assert documented == set(keys)
+    for key, (default, bounds) in keys.items():
+        if not bounds or f"{key}[]" in rows:
+            continue
+        kind, shown = rows[key][:2]
+        numbers = [f"{bound:g}" if bound < 1e6 else str(int(bound)) for bound in bounds]
+        kind = kind.replace("10^10", "10000000000")
+        assert all(number in kind for number in numbers), (key, bounds, kind)
+        assert shown == ("required" if default is MISSING else str(default)), key
