Test the exported metrics and the logs of a request with real processes

Cause: nothing noticed a metric that the page lists and no node exports, a label without a bound, or a request whose id is missing in a log.

Ruled out: a sick server from the start of the fleet; a keyed request that it answered with 500 is done and can never be repeated for the test.

Change: tests/test_observability.py compares names, kinds and labels with the page, makes a server sick until both entry instances have a detection time, and follows request ids through two entry instances and a backend server.

--- /dev/null
+++ b/tests/test_observability.py
@@ -0,0 +1,191 @@
+"""Metrics and logs of running nodes are those that docs/interfaces.md lists."""
+
+import asyncio
+import json
+import re
+from pathlib import Path
+
+import pytest
+
+from cardamomrun_base.http_client import call
+
+from .processes import until
+
+PAGE = (Path(__file__).parent.parent / "docs" / "interfaces.md").read_text()
+HOST = "rota-desk.example"
+# Enough requests at once that the sick server is among the first attempts of both
+# instances in each report.
+BURST_COUNT = 20
+SAMPLE = re.compile(r"^(\w+)(?:\{(.*)\})? (\S+)$", re.MULTILINE)
+
+
+def _documented() -> dict[str, tuple[str, set[str]]]:
+    """Return kind and labels of each metric on the page."""
+    section = PAGE.split("## 8. Metrics")[1].split("## 9.")[0]
+    rows = re.findall(r"\| `(\w+)` \| (\w+) \| (.*?) \|", section)
+    return {
+        name: (kind, set(re.findall(r"`(\w+)`", labels))) for name, kind, labels in rows
+    }
+
+
+async def _metrics(group, name) -> str:
+    return (await call("GET", f"http://{group.admin(name)}/metrics")).body
+
+
+async def _values(group, name) -> dict[str, float]:
+    """Return the sum over all label values of each sample."""
+    totals: dict[str, float] = {}
+    for sample, _, value in SAMPLE.findall(await _metrics(group, name)):
+        totals[sample] = totals.get(sample, 0.0) + float(value)
+    return totals
+
+
+async def _get(group, entry, path="/", headers=None):
+    url = f"http://{group.front(entry)}{path}"
+    return await call("GET", url, headers={"Host": HOST, **(headers or {})})
+
+
+async def _make_sick(group, server_id):
+    settings = json.loads((group.folder / f"{server_id}.jsonc").read_text())
+    url = f"http://{settings['host']}:{settings['port']}/.backend/faults"
+    # Fewer failures than all, since those would be avoided before they are evidence.
+    await call("PUT", url, body={"mode": "fail", "ratio": 0.7})
+
+
+async def _confirm(group, entry, request_id):
+    headers = {
+        "Host": HOST,
+        "Idempotency-Key": "slot-1",
+        "Cardamomrun-Request-Id": request_id,
+    }
+    url = f"http://{group.front(entry)}/confirmations"
+    return await call("POST", url, body={}, headers=headers)
+
+
+def _entries_of(group, name, request_id) -> list[dict]:
+    lines = [line for line in group.log(name).splitlines() if line.startswith("{")]
+    entries = [json.loads(line) for line in lines]
+    return [entry for entry in entries if entry.get("request_id") == request_id]
+
+
+@pytest.fixture
+def fleet(processes, deploy):
+    """Return a running group with documents in force and 4 healthy servers."""
+
+    async def start(group):
+        await deploy(group)
+        for entry in group.names("entry"):
+            await until(lambda name=entry: _sees_all(group, name))
+
+    group = processes(control_count=1, entry_count=2)
+    group.start_all()
+    for number in range(1, 5):
+        group.start_backend(f"rota-{number}")
+    asyncio.run(start(group))
+    return group
+
+
+async def _sees_all(group, name) -> bool:
+    return len((await group.servers(name))["healthy"]) == 4
+
+
+def _check_exported(text: str) -> set[str]:
+    """Check types and labels of one answer and return the names."""
+    documented = _documented()
+    kinds = dict(re.findall(r"^# TYPE (\w+) (\w+)$", text, re.MULTILINE))
+    assert {name: documented[name][0] for name in kinds} == kinds
+    for sample, labels, _ in SAMPLE.findall(text):
+        name = sample
+        if name not in documented:
+            name = re.sub(r"_(bucket|sum|count)$", "", sample)
+        kind, allowed = documented[name]
+        allowed = allowed | ({"le"} if kind == "histogram" else set())
+        assert set(re.findall(r'(\w+)="', labels)) <= allowed, sample
+    return set(kinds)
+
+
+def test_each_listed_metric_is_exported_without_other_labels(fleet):
+    """Guards against dashboards without data and against labels without a bound."""
+
+    async def answered():
+        return (await _get(fleet, "entry-1")).status == 200
+
+    async def run():
+        await until(answered)
+        await _confirm(fleet, "entry-1", "observed-1")
+        for name in fleet.hosts:
+            assert _check_exported(await _metrics(fleet, name)) == set(_documented())
+        control = await _values(fleet, "control-1")
+        assert control["cardamomrun_control_leads"] == 1
+        assert control["cardamomrun_control_last_index"] > 0
+        entry = await _values(fleet, "entry-1")
+        assert entry["cardamomrun_claims_total"] == 1
+        assert entry["cardamomrun_added_seconds_count"] >= 1
+        assert entry["cardamomrun_servers"] == 4
+        # Half of 4 in production, and the least possible floor of 1 in trial.
+        assert entry["cardamomrun_floor_count"] == 3
+        assert entry["cardamomrun_version_in_force"] == 2
+        assert entry["cardamomrun_members"] == 3
+        assert entry["cardamomrun_peer_bytes_total"] > 0
+        assert entry["process_resident_memory_bytes"] > 0
+
+    asyncio.run(run())
+
+
+def test_an_ejection_is_counted_with_its_detection_time(fleet):
+    """Guards against a detection time that nobody can compare with the goal."""
+
+    async def burst():
+        entries = fleet.names("entry")
+        gets = [_get(fleet, entry) for entry in entries for _ in range(BURST_COUNT)]
+        await asyncio.gather(*gets)
+        values = [await _values(fleet, entry) for entry in entries]
+        return all(v.get("cardamomrun_detection_seconds_count") for v in values)
+
+    async def run():
+        await _make_sick(fleet, "rota-1")
+        await until(burst)
+        control = await _values(fleet, "control-1")
+        assert control["cardamomrun_ejections_granted_total"] == 1
+        for name in fleet.names("entry"):
+            entry = await _values(fleet, name)
+            assert entry["cardamomrun_ejections_honoured_total"] == 1
+            assert entry["cardamomrun_ejections_held_back_total"] == 0
+            assert 0 < entry["cardamomrun_detection_seconds_sum"] < 20
+
+    asyncio.run(run())
+
+
+def test_a_request_is_followed_by_its_id(fleet):
+    """Guards against a request whose way through the fleet cannot be found."""
+
+    async def confirmed():
+        answer = await _confirm(fleet, "entry-1", "followed-1")
+        return answer if answer.status == 200 else None
+
+    async def failed():
+        await _get(fleet, "entry-1", headers={"Cardamomrun-Request-Id": "followed-2"})
+        return _entries_of(fleet, "entry-1", "followed-2")
+
+    async def run():
+        answer = await until(confirmed)
+        assert answer.body["request_id"] == "followed-1"
+        resent = await _confirm(fleet, "entry-2", "followed-1")
+        assert resent.body["request_id"] == "followed-1"
+        fleet.kill("rota-2")
+        fleet.kill("rota-3")
+        return await until(failed)
+
+    attempts = asyncio.run(run())
+    won = _entries_of(fleet, "entry-1", "followed-1")[-1]
+    assert won["text"].startswith("front: won the claim")
+    refused = _entries_of(fleet, "entry-2", "followed-1")[-1]
+    assert refused["text"] == "front: answers with 409 already-done"
+    assert (refused["outcome"], refused["instance_id"]) == ("done", "entry-2")
+    assert attempts[0]["text"].startswith("upstream: an attempt failed: ")
+    assert attempts[0]["server_id"] in ("rota-2", "rota-3")
+    assert all(entry["text"].startswith(_prefix(entry)) for entry in attempts)
+
+
+def _prefix(entry: dict) -> str:
+    return entry["message_type"].removeprefix("cardamomrun:") + ": "
