Keep the floor over all instances together; ignore failures that servers share

Ruled out: avoidance only without a decider (a path that is broken for one failure domain leads to no ejection, so its instances must avoid it).

--- a/packages/cardamomrun-backends/src/cardamomrun_backends/backends.py
+++ b/packages/cardamomrun-backends/src/cardamomrun_backends/backends.py
@@ -5,9 +5,14 @@
 from dataclasses import dataclass
 
 from cardamomrun_backends.evidence import Evidence
-from cardamomrun_backends.floor import allowed_removals, floor_count
+from cardamomrun_backends.floor import (
+    allowed_removals,
+    avoidance_allowance,
+    floor_count,
+)
 from cardamomrun_backends.grants import Grants
 from cardamomrun_backends.metrics import EjectionCounts
+from cardamomrun_backends.recent_failures import RecentFailures
 from cardamomrun_backends.selection import connection_bound, subset
 from cardamomrun_backends.server_state import ServerState
 from cardamomrun_backends.servers import KnownServers, ServiceServers
@@ -37,6 +42,8 @@
 # work; a subset of earlier members is only slightly out of balance.
 MEMBERS_SETTLE_MS = 60_000
 
+FAILURES = (AttemptResult.FAILED, AttemptResult.UNREACHABLE)
+
 _log = PartLog("backends")
 
 
@@ -92,6 +99,7 @@
         self._states: dict[tuple[EnvironmentId, ServerId], ServerState] = {}
         self._subsets: dict[EnvironmentId, _Subset] = {}
         self._granted_before: dict[EnvironmentId, _Granted] = {}
+        self._recent: dict[EnvironmentId, RecentFailures] = {}
 
     def choose(
         self, environment: EnvironmentId, *, exclude: frozenset[ServerId] = frozenset()
@@ -140,10 +148,20 @@
             return
         self.evidence.add(server.environment, server.server_id, result)
         avoided_before = state.wants_avoidance(now_ms)
-        state.record(now_ms, attempt.started_ms, result)
+        others_fail = self._note_failure(server, result, now_ms)
+        state.record(now_ms, attempt.started_ms, result, others_fail=others_fail)
         if state.wants_avoidance(now_ms) and not avoided_before:
             self._log_avoidance(server, state.avoided_until_ms - now_ms)
 
+    def _note_failure(
+        self, server: BackendBody, result: AttemptResult, now_ms: float
+    ) -> bool:
+        """Count an outcome; return True if the other servers fail as well."""
+        recent = self._recent.setdefault(server.environment, RecentFailures())
+        if result is not AttemptResult.NO_EVIDENCE:
+            recent.add(now_ms, server.server_id, result in FAILURES)
+        return result in FAILURES and recent.others_fail(now_ms, server.server_id)
+
     def is_current(self, server: BackendBody) -> bool:
         """Return False once the server drains, is gone, or has a newer incarnation."""
         return self._known.is_current(server)
@@ -181,11 +199,28 @@
         self._restart_ramps(environment, ejected, servers)
         for server_id in ejected:
             del healthy[server_id]
-        avoided = allowed_removals(self._to_avoid(healthy), set(healthy), floor)
+        avoided = self._avoided(environment, document, servers, healthy, floor)
         for server_id in avoided:
             del healthy[server_id]
         return _Standing(servers, healthy, ejected, avoided, floor)
 
+    def _avoided(
+        self,
+        environment: EnvironmentId,
+        document: EnvironmentDocument | None,
+        servers: ServiceServers,
+        healthy: dict[ServerId, BackendBody],
+        floor: int,
+    ) -> tuple[ServerId, ...]:
+        wanted = self._to_avoid(healthy)
+        if not wanted or document is None:
+            return ()
+        chosen = self._subset(environment, document, servers)
+        used_count = sum(name in chosen for name in healthy)
+        allowance = avoidance_allowance(len(healthy), floor, used_count)
+        # Servers outside the subset get no work from here, so they cost nothing.
+        return tuple([name for name in wanted if name in chosen][:allowance])
+
     def _to_avoid(self, healthy: dict[ServerId, BackendBody]) -> list[ServerId]:
         now_ms = self._clock.now_ms()
         states = {name: self._state(server) for name, server in healthy.items()}
@@ -293,6 +328,8 @@
         for key in dropped:
             del self._states[key]
             self._counts.forget(*key)
+            if key[0] in self._recent:
+                self._recent[key[0]].forget(key[1])
 
     def _entry_ids(self) -> tuple[InstanceId, ...]:
         own_id = self._settings.instance_id
--- a/packages/cardamomrun-backends/src/cardamomrun_backends/server_state.py
+++ b/packages/cardamomrun-backends/src/cardamomrun_backends/server_state.py
@@ -10,7 +10,7 @@
 
 # Local avoidance (docs/design.md, section 4.4).
 CONNECT_FAILURES_TO_AVOID = 2
-FAILURES_TO_AVOID = 3
+FAILURES_TO_AVOID = 5
 FIRST_AVOIDANCE_MS = 5_000
 MAX_AVOIDANCE_MS = 60_000
 
@@ -75,8 +75,19 @@
         self._shed_ms = now_ms
         self._shed_until_ms = max(self._shed_until_ms, now_ms + wait_s * MS_PER_S)
 
-    def record(self, now_ms: float, started_ms: float, result: AttemptResult) -> None:
-        """Take the end of an attempt as evidence for or against avoidance."""
+    def record(
+        self,
+        now_ms: float,
+        started_ms: float,
+        result: AttemptResult,
+        *,
+        others_fail: bool = False,
+    ) -> None:
+        """Take the end of an attempt as evidence for or against avoidance.
+
+        While the other servers of the service fail as well, failures are no evidence
+        against this one.
+        """
         if started_ms < self.avoided_since_ms:
             # The attempt began before the avoidance, so it shows nothing new.
             return
@@ -89,7 +100,8 @@
             self._connect_failures += 1
         elif result is not AttemptResult.FAILED:
             return
-        self._failures += 1
+        if not others_fail:
+            self._failures += 1
         if self._fails_in_a_row() and not self.wants_avoidance(now_ms):
             self._avoid(now_ms)
 
