--- a/packages/cardamomrun-backends/src/cardamomrun_backends/decider.py
+++ b/packages/cardamomrun-backends/src/cardamomrun_backends/decider.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from cardamomrun_backends.judgement import Decision, ServiceJudgement
+from cardamomrun_backends.metrics import EJECTIONS_GRANTED
 from cardamomrun_backends.profiles import profile_settings
 from cardamomrun_backends.servers import KnownServers
 from cardamomrun_base.clock import Clock
@@ -39,6 +40,7 @@
     reported_ms: float
     sequence: int
     may_be_behind: bool
+    roster_epoch: int
     versions: dict[EnvironmentId, int] = field(default_factory=dict)
 
 
@@ -89,6 +91,11 @@
         self._in_force = recent
         return dict(recent)
 
+    def roster_epoch(self, instance_id: InstanceId) -> int | None:
+        """Return the roster epoch that an instance last reported in this term."""
+        status = self._in_force.get(instance_id)
+        return None if status is None else status.roster_epoch
+
     async def run(self) -> None:
         """Decide and publish until cancelled."""
         while True:
@@ -129,6 +136,7 @@
             reported_ms=self._clock.now_ms(),
             sequence=report.sequence,
             may_be_behind=report.may_be_behind,
+            roster_epoch=report.roster_epoch,
             versions={**versions, **dict(report.versions_in_force)},
         )
 
@@ -215,6 +223,9 @@
             _log.warning(f"{environment}: the lease ended; ejections not published")
             return
         self._counter += 1
+        before = service.published or Decision()
+        granted_count = len(set(decision.ejected) - set(before.ejected))
+        EJECTIONS_GRANTED.labels(environment).inc(granted_count)
         service.published = decision
         service.published_ms = self._clock.now_ms()
         self._fleet.store.put(record)
--- a/packages/cardamomrun-base/src/cardamomrun_base/codec.py
+++ b/packages/cardamomrun-base/src/cardamomrun_base/codec.py
@@ -1,8 +1,9 @@
 """CBOR encoding of frozen data classes, checked on arrival by pydantic."""
 
-from dataclasses import fields
+from collections.abc import Callable
+from dataclasses import fields, is_dataclass
 from functools import cache
-from typing import Any
+from typing import Any, get_args, get_origin, get_type_hints
 
 import cbor2
 from pydantic import TypeAdapter, ValidationError
@@ -53,16 +54,64 @@
     return tuple(field.name for field in fields(cls))
 
 
+Converter = Callable[[Any], Any]
+
+
+@cache
+def _converters(cls: Any) -> dict[str, Converter]:
+    """Return how to unpack those fields of a data class that hold data classes."""
+    hints = get_type_hints(cls)
+    found = {name: _converter(hints[name]) for name in _field_names(cls)}
+    return {name: convert for name, convert in found.items() if convert is not None}
+
+
+def _converter(hint: Any) -> Converter | None:
+    """Return how to unpack a value of this type; None if it is passed on as it is."""
+    if isinstance(hint, type) and is_dataclass(hint):
+        return lambda items: _unpack(hint, items)
+    inner = [_converter(part) for part in get_args(hint)]
+    convert = next((one for one in inner if one is not None), None)
+    if convert is None:
+        return None
+    if get_origin(hint) in (tuple, list):
+        return lambda items: [convert(item) for item in items]
+    if get_origin(hint) is dict:
+        return lambda items: {key: convert(item) for key, item in items.items()}
+    return lambda item: item if item is None else convert(item)
+
+
+def _pack(value: Any) -> Any:
+    """Return a data class as a list of its fields, and containers item by item."""
+    if is_dataclass(value):
+        cls: Any = type(value)
+        nested = _converters(cls)
+        return [
+            _pack(getattr(value, name)) if name in nested else getattr(value, name)
+            for name in _field_names(cls)
+        ]
+    if isinstance(value, (tuple, list)):
+        return [_pack(item) for item in value]
+    if isinstance(value, dict):
+        return {key: _pack(item) for key, item in value.items()}
+    return value
+
+
+def _unpack(cls: Any, items: list[Any]) -> dict[str, Any]:
+    """Return the fields of a data class by name, those of nested ones too."""
+    body = dict(zip(_field_names(cls), items, strict=False))
+    for name, convert in _converters(cls).items():
+        if name in body:
+            body[name] = convert(body[name])
+    return body
+
+
 def encode(value: Any) -> bytes:
     """Return the CBOR form of a registered data class: a list of name and fields.
 
-    Fields are encoded by position, since the nodes' budget for control traffic is
-    6 KB/s and field names would double a message.
+    Fields are encoded by position, nested data classes too, since the nodes' budget
+    for control traffic is 6 KB/s and field names would double a message.
     """
-    cls: Any = type(value)
-    body = _adapter(cls).dump_python(value)
-    items = [body[name] for name in _field_names(cls)]
-    return cbor2.dumps([_names_by_type[cls], items])
+    return cbor2.dumps([_names_by_type[type(value)], _pack(value)])
 
 
 def decode(data: bytes) -> Any:
@@ -73,9 +122,8 @@
     """
     try:
         name, items = cbor2.loads(data)
-        cls: Any = _types_by_name[name]
-        body = dict(zip(_field_names(cls), items, strict=False))
-        return _adapter(cls).validate_python(body)
+        cls = _types_by_name[name]
+        return _adapter(cls).validate_python(_unpack(cls, items))
     except (ValueError, TypeError, KeyError, ValidationError, cbor2.CBORError) as error:
         raise CodecError(
             f"cannot decode a message of {len(data)} bytes: {error}",
--- a/packages/cardamomrun-control/src/cardamomrun_control/service.py
+++ b/packages/cardamomrun-control/src/cardamomrun_control/service.py
@@ -6,9 +6,11 @@
 from tornado.web import URLSpec
 
 from cardamomrun_base.clock import Clock
-from cardamomrun_base.interfaces import Fleet, Leadership
+from cardamomrun_base.interfaces import Fleet, Leadership, RosterReports
 from cardamomrun_base.settings import NodeSettings
 from cardamomrun_control.agreement import Agreement
+from cardamomrun_control.checked import CheckedDocuments
+from cardamomrun_control.metrics import watch
 from cardamomrun_control.operator_api import OperatorContext, operator_routes
 from cardamomrun_control.publisher import Publisher
 from cardamomrun_control.state import ControlState
@@ -22,7 +24,8 @@
     """Composes log, state, agreement, publisher and the operators' interface.
 
     `start` raises `StorageError` if the data folder cannot be used and `SettingsError`
-    if the file of tokens is wrong.
+    if the file of tokens is wrong. A new cluster forms once all instances in
+    `settings.control.voters` are reachable; after that a majority is enough.
     """
 
     def __init__(self, settings: NodeSettings, clock: Clock, fleet: Fleet) -> None:
@@ -31,11 +34,14 @@
         self._state = ControlState()
         log = DurableLog(self._settings.data_folder)
         self._agreement = Agreement(settings, clock, fleet, log, self._state)
+        self._checked = CheckedDocuments()
         self._publisher = Publisher(
-            settings, clock, fleet, self._agreement, self._state
+            settings, clock, fleet, self._agreement, self._state, self._checked
         )
         self._agreement.on_commit = self._publisher.publish
-        self._context = OperatorContext(clock, self._agreement, self._state)
+        self._context = OperatorContext(
+            clock, self._agreement, self._state, self._checked
+        )
         self._task: asyncio.Task | None = None
 
     @property
@@ -43,10 +49,15 @@
         """Whether this instance leads."""
         return self._agreement
 
+    def follow_reports(self, reports: RosterReports) -> None:
+        """Take the roster epochs that instances report from `reports`."""
+        self._publisher.follow_reports(reports)
+
     async def start(self) -> None:
         """Open the data folder and take part in the agreement."""
         tokens = OperatorTokens(self._settings.operator_tokens_file)
         await self._agreement.start()
+        watch(self._agreement)
         self._context.tokens = tokens
         self._publisher.publish()
         self._task = asyncio.get_running_loop().create_task(self._publisher.run())
@@ -58,6 +69,7 @@
             with suppress(asyncio.CancelledError):
                 await self._task
         await self._agreement.stop()
+        await self._checked.stop()
 
     def routes(self) -> list[URLSpec]:
         """Return the URL specifications for the admin listener."""
--- a/packages/cardamomrun-requests/src/cardamomrun_requests/claims.py
+++ b/packages/cardamomrun-requests/src/cardamomrun_requests/claims.py
@@ -12,20 +12,33 @@
 # a restart, and then abstains for one retention time unless the roster names its new
 # incarnation.
 #
-# When the roster changes, an instance that knows the change needs a majority of the
-# previous keepers too, and these meet every majority that an instance with the
+# A roster change is joint: an instance that knows the joint roster needs a majority of
+# the previous keepers too, and these meet every majority that an instance with the
 # previous roster can get. A keeper that is named with another incarnation than before
-# does not count among the previous keepers, since it forgot what it granted as one.
-# A keeper that knows a newer roster abstains from older requests.
+# does not count among the previous keepers for one retention time, since it forgot what
+# it granted as one. A keeper that knows a newer roster, or knows of one by the leader
+# record, abstains from older requests.
+#
+# The leader ends the joint phase by a roster without previous members once no previous
+# member can still grant by the previous roster, and then one retention time has passed,
+# in which all such grants expire. A member that reported the joint roster abstains from
+# older requests; one that is gone has ended; any other abstains once its roster lease
+# has ended. Its lease counts from the newest confirmation by a leader that it knows.
+# Confirmations published after the joint roster name its epoch, so a member that votes
+# by the previous roster knows only earlier ones, and the leader waits for a lease and a
+# tenth from then. No other change starts in a joint phase, so that a claim never has to
+# meet claims of more than one change.
 #
 # Lost, delayed and repeated messages add grants that nobody uses, never votes: an
 # answer counts once, by keeper, in the claim that asked. An attempt that gives up
 # releases its key at every keeper it asked, including the silent ones.
 #
 # Limits: the argument needs clocks that advance at about the same rate and do not stop
-# while a process is frozen, a sender that checks `start_before_ms` directly before
-# the first byte, and records that reach a majority of the previous keepers within one
-# retention time of a roster change.
+# while a process is frozen, wall clocks of keepers and control instances that differ by
+# less than a tenth of `roster_lease_ms`, and a sender that checks `start_before_ms`
+# directly before the first byte. A keeper that reported the joint roster, restarts, and
+# then gets its records only from instances that are no previous members and know the
+# previous roster, can vote by that one until its lease ends.
 
 import asyncio
 import secrets
@@ -70,6 +83,8 @@
 KEEPER_COUNT = 3
 CLAIM_MS = 250
 START_WITHIN_MS = 5_000
+# Longer than a release of another attempt takes to arrive.
+SPLIT_PAUSE_MS = 10
 
 # Retries of a settlement last about 6 s in all, longer than a lost link takes to be
 # replaced. A keeper that misses it reports the attempt as running, never as free.
@@ -131,6 +146,7 @@
     asked_ids: tuple[InstanceId, ...]
     granted_ids: set[InstanceId] = field(default_factory=set)
     states: dict[str, int] = field(default_factory=dict)
+    holder_ids: dict[InstanceId, str] = field(default_factory=dict)
 
     def count(self, keeper_id: InstanceId, answer: ClaimAnswer) -> None:
         if answer.verdict == GRANTED:
@@ -139,6 +155,34 @@
             self.states[MISMATCH] = 0
         elif answer.verdict == HELD:
             self.states[answer.state] = answer.status
+            if answer.state == RUNNING:
+                self.holder_ids[keeper_id] = answer.attempt_id
+
+    def unasked_ids(self) -> list[InstanceId]:
+        """Return the keepers whose grant is missing."""
+        return [one for one in self.asked_ids if one not in self.granted_ids]
+
+    def is_worth_another_poll(self, attempt_id: str) -> bool:
+        """Return True if this attempt goes first among attempts that split the votes.
+
+        Attempts that ask at the same moment may each get one keeper. All but the one
+        with the lowest id give back their grants, so that one of them wins.
+        """
+        if set(self.states) != {RUNNING} or self._has_other_winner():
+            return False
+        return attempt_id < min(self.holder_ids.values())
+
+    def begin_poll(self) -> None:
+        """Forget answers that may have changed since."""
+        self.states.pop(RUNNING, None)
+        self.holder_ids.clear()
+
+    def _has_other_winner(self) -> bool:
+        for holder_id in set(self.holder_ids.values()):
+            held = {one for one, other in self.holder_ids.items() if other == holder_id}
+            if all(electorate.is_won(held) for electorate in self.electorates):
+                return True
+        return False
 
     def is_won(self) -> bool:
         # A keeper that missed a settlement expires the key earlier than one that has
@@ -213,7 +257,16 @@
             origin_id=self._fleet.instance_id,
             roster_epoch=roster.epoch,
         )
-        await self._poll(ballot, request)
+        end_ms = self._clock.now_ms() + self._claim_ms
+        await self._poll(ballot, request, end_ms)
+        while (
+            not ballot.is_won()
+            and ballot.is_worth_another_poll(attempt_id)
+            and self._clock.now_ms() + SPLIT_PAUSE_MS < end_ms
+        ):
+            await self._clock.sleep_ms(SPLIT_PAUSE_MS)
+            ballot.begin_poll()
+            await self._poll(ballot, request, end_ms)
         if ballot.is_won() and self._clock.now_ms() < start_before_ms:
             return Won(key, attempt_id, start_before_ms)
         # A silent keeper may have granted and its answer been lost.
@@ -252,35 +305,45 @@
         self._current = KeeperMap(roster.members)
         self._previous = KeeperMap(roster.previous_members)
 
-    def _previous_counts(self) -> bool:
+    def _previous_electorate(
+        self, previous: tuple[RosterMember, ...], roster: RosterBody
+    ) -> _Electorate:
+        """Return the previous keepers, without votes of those that forgot grants.
+
+        A keeper that restarted before the roster was committed has no vote until all
+        that it may have granted before has expired.
+        """
         age_ms = self._clock.now_ms() - self._roster_arrived_ms
-        return age_ms < self._settings.idempotency_retention_ms
+        voters = frozenset(member.instance_id for member in previous)
+        if age_ms < self._settings.idempotency_retention_ms:
+            voters -= _restarted_ids(previous, roster.members)
+        return _Electorate(len(previous), voters)
 
     def _ballot(self, key_hash: str, roster: RosterBody) -> _Ballot:
         current = self._current.keepers(key_hash)
         ids = [member.instance_id for member in current]
         electorates = [_Electorate(len(current), frozenset(ids))]
-        if roster.previous_members and self._previous_counts():
+        if roster.previous_members:
             previous = self._previous.keepers(key_hash)
-            electorates.append(_previous_electorate(previous, roster.members))
+            electorates.append(self._previous_electorate(previous, roster))
             ids += [member.instance_id for member in previous]
         return _Ballot(tuple(electorates), tuple(dict.fromkeys(ids)))
 
-    async def _poll(self, ballot: _Ballot, request: ClaimRequest) -> None:
-        """Ask all keepers at once, until it is decided or the time is over."""
-        loop = asyncio.get_running_loop()
-        end_s = loop.time() + self._claim_ms / MS_PER_S
+    async def _poll(
+        self, ballot: _Ballot, request: ClaimRequest, end_ms: float
+    ) -> None:
+        """Ask all missing keepers at once, until it is decided or the time is over."""
         asked = {
             self._start(self._ask(keeper_id, request)): keeper_id
-            for keeper_id in ballot.asked_ids
+            for keeper_id in ballot.unasked_ids()
         }
         pending = set(asked)
         while pending and not ballot.is_decided():
-            left_s = end_s - loop.time()
-            if left_s <= 0:
+            left_ms = end_ms - self._clock.now_ms()
+            if left_ms <= 0:
                 return
             finished, pending = await asyncio.wait(
-                pending, timeout=left_s, return_when=asyncio.FIRST_COMPLETED
+                pending, timeout=left_ms / MS_PER_S, return_when=asyncio.FIRST_COMPLETED
             )
             for task in finished:
                 ballot.count(asked[task], task.result())
@@ -331,15 +394,13 @@
         return task
 
 
-def _previous_electorate(
-    previous: tuple[RosterMember, ...], current: tuple[RosterMember, ...]
-) -> _Electorate:
-    """Return the previous keepers, without the votes of those that restarted since."""
+def _restarted_ids(
+    previous: Iterable[RosterMember], current: Iterable[RosterMember]
+) -> frozenset[InstanceId]:
     incarnations = {member.instance_id: member.incarnation for member in current}
-    voters = frozenset(
+    return frozenset(
         member.instance_id
         for member in previous
         if incarnations.get(member.instance_id, member.incarnation)
-        == member.incarnation
+        != member.incarnation
     )
-    return _Electorate(len(previous), voters)
--- a/packages/cardamomrun-requests/src/cardamomrun_requests/exchange.py
+++ b/packages/cardamomrun-requests/src/cardamomrun_requests/exchange.py
@@ -1,6 +1,7 @@
 """One request from its head to the end of its answer, in one task."""
 
 import asyncio
+from contextlib import AsyncExitStack
 
 from tornado.iostream import StreamClosedError
 
@@ -34,6 +35,14 @@
 _log = PartLog("front")
 
 
+class _UnansweredError(Exception):
+    """An attempt ended without an answer; `failure` is None if none could be made."""
+
+    def __init__(self, failure: Failure | None) -> None:
+        super().__init__()
+        self.failure = failure
+
+
 class Exchange:
     """Runs one request."""
 
@@ -82,6 +91,12 @@
         await self._reply.finish()
 
     async def _answer_error(self, ended: EndedError) -> None:
+        _log.info(
+            f"answers with {ended.outcome.status} {ended.kind}",
+            request_id=self._request.request_id,
+            environment=self._environment_name,
+            outcome=ended.outcome.tag,
+        )
         if self._reply.started:
             # A part of an answer was sent; only a cut tells the caller.
             raise StreamClosedError
@@ -161,13 +176,16 @@
         if context.deadline.ended():
             raise TimeoutError
         await self._request.body.read_prefix()
+        self._state.started_ms = self._path.clock.now_ms()
         self._check_sendable()
         limits = context.environment.document.limits
         admission = self._path.admission(context.environment)
         try:
             wait_s = context.deadline.remaining_s(limits.queue_wait_ms)
-            await admission.enter(context.customer, wait_s)
+            with metrics.QUEUE_SECONDS.labels(context.environment_name).time():
+                await admission.enter(context.customer, wait_s)
         except RefusedError as refused:
+            metrics.SHED.labels(context.environment_name).inc()
             raise self._state.error(
                 "overload",
                 f"Not admitted: {refused}.",
@@ -205,6 +223,11 @@
         if key:
             scope = (context.environment_name, context.customer, key)
             await claim.win(ClaimKey(hash_parts(*scope), self._request.request_hash()))
+            _log.info(
+                "won the claim of an idempotency key",
+                request_id=self._request.request_id,
+                environment=context.environment_name,
+            )
         elif key is not None or context.route.idempotency_key is KeyRule.REQUIRED:
             raise self._state.error(
                 "idempotency-key",
@@ -214,38 +237,30 @@
             )
 
     async def _attempts(self, context: RequestContext, claim: KeyClaim) -> None:
-        self._check_quarantine(context)
         runner = AttemptRunner(self._path, context, self._reply, self._state, claim)
         budget = self._path.budget(context.environment)
         budget.count_request()
-        retries = context.environment.document.retries
         tried: set[str] = set()
         failure: Failure | None = None
-        for number in range(retries.attempt_count):
-            server = self._path.backends.choose(
-                context.environment_name, exclude=frozenset(tried)
-            )
-            if server is None:
-                break
-            if number > 0:
-                if not budget.take(retries.budget_ratio):
-                    break
-                metrics.RETRIES.labels(context.environment_name).inc()
-            failure = await runner.run(server)
-            if failure is None:
+        for number in range(context.environment.document.retries.attempt_count):
+            try:
+                async with AsyncExitStack() as turn:
+                    await self._enter_turn(context, turn)
+                    await self._attempt(context, runner, turn, tried, number > 0)
                 return
-            if failure.charges_server:
-                tried.add(server.server_id)
+            except _UnansweredError as unanswered:
+                if unanswered.failure is None:
+                    break
+                failure = unanswered.failure
             if not failure.may_retry:
                 break
-            await runner.wait_decided()
-            self._check_quarantine(context)
         raise self._failed(failure)
 
-    def _check_quarantine(self, context: RequestContext) -> None:
-        if self._path.quarantine.is_quarantined(
-            context.environment_name, context.fingerprint()
-        ):
+    async def _enter_turn(self, context: RequestContext, turn: AsyncExitStack) -> None:
+        """Wait for the request's turn. Raises `EndedError` if it must not run."""
+        scope = (context.environment_name, context.fingerprint())
+        may_run = await turn.enter_async_context(self._path.quarantine.turn(*scope))
+        if self._path.quarantine.is_quarantined(*scope):
             raise self._state.error(
                 "quarantined",
                 "Backend servers died of this request.",
@@ -253,6 +268,44 @@
                 503,
                 QUARANTINE_S,
             )
+        if not may_run:
+            raise self._state.error(
+                "crash-suspect",
+                "A backend server died of this request, and another run has not ended.",
+                "retry later",
+                503,
+                RETRY_AFTER_S,
+            )
+
+    async def _attempt(
+        self,
+        context: RequestContext,
+        runner: AttemptRunner,
+        turn: AsyncExitStack,
+        tried: set[str],
+        is_retry: bool,
+    ) -> None:
+        """Make one attempt. Raises `_UnansweredError` if the caller has no answer.
+
+        It raises rather than returns, since a turn that is left normally tells that
+        the server survived the request.
+        """
+        server = self._path.backends.choose(
+            context.environment_name, exclude=frozenset(tried)
+        )
+        if server is None:
+            raise _UnansweredError(None)
+        if is_retry:
+            ratio = context.environment.document.retries.budget_ratio
+            if not self._path.budget(context.environment).take(ratio):
+                raise _UnansweredError(None)
+            metrics.RETRIES.labels(context.environment_name).inc()
+        failure = await runner.run(server, turn)
+        if failure is None:
+            return
+        if failure.charges_server:
+            tried.add(server.server_id)
+        raise _UnansweredError(failure)
 
     def _failed(self, failure: Failure | None) -> EndedError:
         if failure is None:
