Follow the product's new rules of avoidance in the experiment

The test of the floor failed every attempt at every server, which now rightly leads to no avoidance; it now has a share of failures below the common one and still demands exactly what the floor spares, and a new test covers the common rise.

--- a/packages/cardamomrun-bench/tests/test_judgement_experiment.py
+++ b/packages/cardamomrun-bench/tests/test_judgement_experiment.py
@@ -125,12 +125,27 @@
     model = service()
     policy = FleetJudgement(model, model.subsets(), ManualClock())
     for server in range(model.server_count):
+        policy.take(0.0, *attempts(0, server, [GOOD] * 100))
+    # More servers than the floor spares, but a small share of all attempts.
+    for server in range(6):
         policy.take(0.0, *attempts(0, server, FAIL_5))
     policy.tick(0.0)
     assert policy.blocked[0].sum() == 3
     assert not policy.blocked[1:].any()
 
 
+def test_fleet_policy_ignores_failures_that_servers_share():
+    """Guards against avoidance in a common rise, which the product does not do."""
+    model = service()
+    policy = FleetJudgement(model, model.subsets(), ManualClock())
+    for server in [*range(model.server_count)] * 3:
+        policy.take(0.0, *attempts(0, server, [GOOD, FAILED]))
+    for server in range(model.server_count):
+        policy.take(0.0, *attempts(0, server, FAIL_5))
+    policy.tick(0.0)
+    assert not policy.blocked.any()
+
+
 @pytest.mark.parametrize("name", list(POLICIES))
 def test_runs_with_equal_seeds_are_equal(name):
     """Guards against figures that cannot be repeated."""
