Announce relayed stand-ins only when they listen

Cause: the test of silent connections announced its stand-ins while they started. Refused connections made the entry instances avoid all of them for seconds.

Change: the test waits until each stand-in answers.

--- a/tests/test_request_safety.py
+++ b/tests/test_request_safety.py
@@ -71,6 +71,10 @@
             total.update(json.loads(answer.body))
         return total
 
+    async def all_answer(self):
+        await self.executions()
+        return True
+
     async def has_run(self, key):
         return (await self.executions())[key] == 1
 
@@ -333,6 +337,8 @@
         for number in range(1, count + 1):
             name = f"b{number}"
             one.backends[name] = one.group.start_backend(name, announce_to=[])
+        # Announced only when they listen, since a refused connection is evidence too.
+        await until(one.all_answer)
         servers = RelayedServers(one.group, one.backends)
         async with servers.announced():
             await until(lambda: one.sees(count))
