Show control, history and audit in a readable form

Cause: `cardamomrun control` showed the first instance that answered, mostly a follower, which does not know who is up to date; history and audit were lines of hashes and milliseconds; a command without a leader named only the last address it tried.

Ruled out: following `leader_admin_address` for `control`: during an outage it names an instance that is dead.

Conclusion: an operator sees on one screen whether an instance may be taken away.

--- a/packages/cardamomrun-operators/src/cardamomrun_operators/commands.py
+++ b/packages/cardamomrun-operators/src/cardamomrun_operators/commands.py
@@ -10,12 +10,18 @@
 
 from cardamomrun_base.clock import SystemClock
 from cardamomrun_base.documents import document_digest, load_document, read_document
-from cardamomrun_base.errors import ConflictError, UsageError
+from cardamomrun_base.errors import CardamomrunError, ConflictError, UsageError
 from cardamomrun_base.http_client import call
 from cardamomrun_base.model import Stage
 from cardamomrun_control.audit import GENESIS_HASH, AuditEntry, AuditError, verify
 from cardamomrun_operators.control_client import ControlClient, NotFoundError
-from cardamomrun_operators.output import render, render_status
+from cardamomrun_operators.output import (
+    render,
+    render_audit,
+    render_control,
+    render_history,
+    render_status,
+)
 from cardamomrun_operators.settings import DEFAULT_PATH, load_operator_settings
 
 __all__ = ["Commands"]
@@ -150,7 +156,8 @@
         Example: cardamomrun history rota-desk --stage trial --json
         """
         path = f"{_environment_path(service, stage)}/history"
-        self._print(self._call("GET", path))
+        answer = self._call("GET", path)
+        print(render(answer, True) if self._json else render_history(answer))
 
     def status(self) -> None:
         """Show which versions are in force on how many instances, and who is behind.
@@ -163,9 +170,23 @@
     def control(self) -> None:
         """Show the control instances and whether it is safe to take one away.
 
-        Example: cardamomrun control
+        Asks all addresses in the settings. The leader's view is shown; without a
+        leader, that of the first instance that answers.
+
+        Example: cardamomrun control --json
         """
-        self._print(self._call("GET", "/v1/control"))
+        answers = self._await(self._client().call_each("/v1/control"))
+        errors = {
+            address: answer
+            for address, answer in answers.items()
+            if isinstance(answer, CardamomrunError)
+        }
+        views = [answer for answer in answers.values() if isinstance(answer, dict)]
+        if not views:
+            raise next(iter(errors.values()))
+        view = next((one for one in views if one["holds_lease"]), views[0])
+        view["unreachable"] = {name: error.message for name, error in errors.items()}
+        print(render(view, True) if self._json else render_control(view))
 
     def voters(self, action: str, instance_id: str, peer_address: str = "") -> None:
         """Add or remove one control instance (action: add or remove).
@@ -195,7 +216,8 @@
             if not page or number > answer["last_number"]:
                 break
         fault = _chain_fault(entries)
-        self._print({"entries": entries, "chain": fault or "intact"})
+        answer = {"entries": entries, "chain": fault or "intact"}
+        print(render(answer, True) if self._json else render_audit(answer))
         if fault:
             raise ConflictError(
                 f"the audit chain is broken: {fault}.",
@@ -227,9 +249,11 @@
             return {}
 
     def _call(self, method: str, path: str, body: Any = None) -> Any:
+        return self._await(self._client().call(method, path, body))
+
+    def _client(self) -> ControlClient:
         settings = load_operator_settings(Path(self._settings_path))
-        client = ControlClient(settings, SystemClock())
-        return self._await(client.call(method, path, body))
+        return ControlClient(settings, SystemClock())
 
     def _await(self, awaitable: Awaitable[Any]) -> Any:
         async def wait() -> Any:
--- a/packages/cardamomrun-operators/src/cardamomrun_operators/control_client.py
+++ b/packages/cardamomrun-operators/src/cardamomrun_operators/control_client.py
@@ -58,29 +58,43 @@
         """Return the JSON of a successful answer, or raise a typed error."""
         deadline_ms = self._clock.now_ms() + self._settings.timeout_ms
         addresses = list(self._settings.control)
-        last_error = UnavailableError(
-            "no control instance answered.",
-            remedy="check the addresses in the settings and that the nodes run",
-        )
+        faults: dict[str, str] = {}
         while self._clock.now_ms() < deadline_ms:
             address = addresses.pop(0)
             addresses.append(address)
             try:
                 answer = await self._call_one(address, method, path, body)
             except UnavailableError as error:
-                last_error = error
+                faults[address] = error.message
                 await self._clock.sleep_ms(RETRY_PAUSE_MS)
                 continue
             if answer.status < 300:
                 return answer.body
             if answer.status == MISDIRECTED_STATUS:
+                faults[address] = "it does not lead."
                 await self._follow_leader(answer, addresses)
                 continue
             if answer.status not in UNAVAILABLE_STATUSES:
                 raise _refusal(answer)
-            last_error = _unavailable(answer)
+            faults[address] = _message(answer)
             await self._clock.sleep_ms(RETRY_PAUSE_MS)
-        raise last_error
+        raise UnavailableError(
+            f"no leader of control answered. {_listed(faults)}",
+            remedy="see cardamomrun control; then repeat a change with the same --change",
+        )
+
+    async def call_each(self, path: str) -> dict[str, Any]:
+        """Return the answer of each address in the settings, or its typed error."""
+        answers: dict[str, Any] = {}
+        for address in self._settings.control:
+            try:
+                answer = await self._call_one(address, "GET", path, None)
+            except UnavailableError as error:
+                answers[address] = error
+                continue
+            refused = answer.status >= 300
+            answers[address] = _refusal(answer) if refused else answer.body
+        return answers
 
     async def _call_one(
         self, address: str, method: str, path: str, body: Any
@@ -112,9 +126,10 @@
     return error_type(message, remedy=remedy)
 
 
-def _unavailable(answer: CallAnswer) -> UnavailableError:
+def _message(answer: CallAnswer) -> str:
     body = answer.body if isinstance(answer.body, dict) else {}
-    return UnavailableError(
-        body.get("message", f"control answered {answer.status}."),
-        remedy=body.get("remedy", "repeat the command with the same --change"),
-    )
+    return body.get("message", f"control answered {answer.status}.")
+
+
+def _listed(faults: dict[str, str]) -> str:
+    return " ".join(f"{address}: {fault}" for address, fault in faults.items())
--- a/packages/cardamomrun-operators/src/cardamomrun_operators/output.py
+++ b/packages/cardamomrun-operators/src/cardamomrun_operators/output.py
@@ -2,9 +2,19 @@
 
 import json
 from collections.abc import Mapping
+from datetime import UTC, datetime
 from typing import Any
 
-__all__ = ["render", "render_status"]
+__all__ = [
+    "render",
+    "render_audit",
+    "render_control",
+    "render_history",
+    "render_status",
+]
+
+# Enough of a digest to tell versions apart; --json has all of it.
+DIGEST_LENGTH = 12
 
 
 def render(value: Any, as_json: bool) -> str:
@@ -46,6 +56,71 @@
     return "\n".join(lines)
 
 
+def render_history(answer: Mapping[str, Any]) -> str:
+    """Return the answer of `GET .../history` for people, the newest version first."""
+    lines = [f"{answer['environment']}:"]
+    for item in reversed(answer["versions"]):
+        lines.append(
+            f"  version {item['version']}  {_time(item['at_ms'])}  {item['action']} "
+            f"by {item['operator']}  digest {item['digest'][:DIGEST_LENGTH]}"
+        )
+    return "\n".join(lines)
+
+
+def render_audit(answer: Mapping[str, Any]) -> str:
+    """Return the audit trail for people; --json has the hashes."""
+    lines = [
+        f"{entry['number']:>6}  {_time(entry['at_ms'])}  {entry['operator'] or '-'}  "
+        f"{entry['action']}  {entry['environment']}  "
+        f"{entry['from_version']} -> {entry['to_version']}  {entry['outcome']}"
+        for entry in answer["entries"]
+    ]
+    return "\n".join([*lines, f"chain: {answer['chain']}"])
+
+
+def render_control(view: Mapping[str, Any]) -> str:
+    """Return the view of a control instance for people."""
+    leads = view["holds_lease"]
+    leader = view["leader_id"] if leads else "none that was asked"
+    lines = [
+        f"leader: {leader} (term {view['term']})",
+        f"log: entry {view['commit_index']} of {view['last_index']} is committed",
+    ]
+    if leads:
+        answer = "yes" if view["may_lose_one"] else "no"
+        lines.append(f"one instance may be taken away now: {answer}")
+    for voter in view["voters"]:
+        state = _voter_state(voter, view["leader_id"]) if leads else ""
+        lines.append(
+            f"  {voter['instance_id']}  {voter['peer_address']}  {state}".rstrip()
+        )
+    if view["failure"]:
+        lines.append(f"failure: {view['failure']}")
+    for address, fault in view["unreachable"].items():
+        lines.append(f"no answer from {address}: {fault}")
+    return "\n".join(lines)
+
+
+def _voter_state(voter: Mapping[str, Any], leader_id: str) -> str:
+    if voter["instance_id"] == leader_id:
+        return "leads"
+    if voter["replaced"]:
+        return "has another data folder than the one that votes"
+    heard = voter["heard_ms_ago"]
+    when = "never heard" if heard is None else f"heard {heard:.0f} ms ago"
+    kind = "learner, " if voter["is_learner"] else ""
+    return f"{kind}{'up to date' if voter['caught_up'] else 'behind'}, {when}"
+
+
+def _time(wall_ms: int) -> str:
+    """Return a time in UTC.
+
+    >>> _time(1796350531343)
+    '2026-12-04T02:15:31Z'
+    """
+    return datetime.fromtimestamp(wall_ms // 1_000, UTC).strftime("%Y-%m-%dT%H:%M:%SZ")
+
+
 def _lines(value: Any) -> list[str]:
     if isinstance(value, Mapping):
         return [line for key, item in value.items() for line in _entry(key, item)]
