--- a/packages/cardamomrun-operators/src/cardamomrun_operators/control_client.py
+++ b/packages/cardamomrun-operators/src/cardamomrun_operators/control_client.py
@@ -64,8 +64,8 @@
             addresses.append(address)
             try:
                 answer = await self._call_one(address, method, path, body)
-            except UnavailableError as error:
-                faults[address] = error.message
+            except UnavailableError:
+                faults[address] = "no answer."
                 await self._clock.sleep_ms(RETRY_PAUSE_MS)
                 continue
             if answer.status < 300:
@@ -90,7 +90,7 @@
             try:
                 answer = await self._call_one(address, "GET", path, None)
             except UnavailableError as error:
-                answers[address] = error
+                answers[address] = UnavailableError("no answer.", remedy=error.remedy)
                 continue
             refused = answer.status >= 300
             answers[address] = _refusal(answer) if refused else answer.body
--- a/packages/cardamomrun-operators/src/cardamomrun_operators/output.py
+++ b/packages/cardamomrun-operators/src/cardamomrun_operators/output.py
@@ -97,7 +97,7 @@
     if view["failure"]:
         lines.append(f"failure: {view['failure']}")
     for address, fault in view["unreachable"].items():
-        lines.append(f"no answer from {address}: {fault}")
+        lines.append(f"{address}: {fault}")
     return "\n".join(lines)
 
 
--- a/tests/test_interfaces.py
+++ b/tests/test_interfaces.py
@@ -1,19 +1,25 @@
-"""The commands and the settings that docs/interfaces.md shows work as it says."""
+"""Commands, keys and answers are those that docs/interfaces.md states."""
 
 import contextlib
+import inspect
+import json
 import os
 import re
 import shutil
 import signal
 import subprocess
 import sys
-from dataclasses import MISSING, fields, is_dataclass
+from contextlib import nullcontext
+from dataclasses import MISSING, asdict, fields, is_dataclass
 from pathlib import Path
 
 import pytest
 
 from cardamomrun_base.documents import EnvironmentDocument, Route
+from cardamomrun_base.errors import ConflictError
 from cardamomrun_base.settings import NodeSettings
+from cardamomrun_control.audit import GENESIS_HASH, AuditEntry, chain
+from cardamomrun_operators.commands import Commands
 
 ROOT = Path(__file__).parent.parent
 PAGE = (ROOT / "docs" / "interfaces.md").read_text()
@@ -136,3 +142,82 @@
         kind = kind.replace("10^10", "10000000000")
         assert all(number in kind for number in numbers), (key, bounds, kind)
         assert shown == ("required" if default is MISSING else str(default)), key
+
+
+def _run_command(*words: str) -> subprocess.CompletedProcess[str]:
+    command = [sys.executable, "-m", "cardamomrun_operators.main", *words]
+    return subprocess.run(
+        command, capture_output=True, text=True, timeout=60, check=False
+    )
+
+
+def test_each_command_has_an_example_and_is_on_the_page():
+    """Guards against commands that an operator cannot find or try."""
+    commands = {
+        name: function
+        for name, function in inspect.getmembers(Commands, inspect.isfunction)
+        if not name.startswith("_")
+    }
+    rows = _documented_rows("## 6. Command line", "## 7. Logs")
+    named = {key.split()[0] for key in rows}
+    assert set(commands) <= named
+    for name, function in commands.items():
+        text = inspect.getdoc(function)
+        assert f"Example: cardamomrun {name}" in text, name
+    shown = _run_command("--help")
+    assert shown.returncode == 0
+    assert all(f"  {name} " in shown.stdout for name in commands)
+
+
+@pytest.mark.parametrize(
+    ("words", "code", "kind"),
+    [
+        (("nonsense", "--json"), 2, "usage"),
+        (("--json", "apply"), 2, "usage"),
+        (("voters", "add", "control-4", "--json"), 2, "usage"),
+        (("--settings=/nowhere", "--json", "status"), 3, "settings"),
+        (("check", "/nowhere", "--json"), 3, "document"),
+    ],
+)
+def test_errors_of_commands_as_json(words, code, kind):
+    """Guards against scripts that cannot read why a command failed."""
+    result = _run_command(*words)
+    assert result.returncode == code, result.stderr
+    body = json.loads(result.stderr)
+    assert body["error"] == kind
+    assert set(body) == {"error", "message", "remedy"}
+
+
+def _audit_answer(count: int, edited_number: int | None = None) -> dict:
+    entries, previous_hash = [], GENESIS_HASH
+    for number in range(1, count + 1):
+        fields = (number, 0, "ann", "apply", "rota-desk/trial", 0, 1, "", "done")
+        entry = chain(AuditEntry(*fields, previous_hash))
+        previous_hash = entry.hash
+        operator = "bob" if number == edited_number else entry.operator
+        entries.append({**asdict(entry), "operator": operator})
+    return {"entries": entries, "last_number": count}
+
+
+@pytest.mark.parametrize(
+    ("edited_number", "start", "verdict"),
+    [(None, 1, "intact"), (None, 3, "intact"), (4, 1, "audit entry 4 was edited")],
+)
+def test_the_audit_command_verifies_the_chain(
+    monkeypatch, capsys, edited_number, start, verdict
+):
+    """Guards against an edited audit trail that is reported as intact."""
+    whole = _audit_answer(5, edited_number)
+
+    def answer(self, method, path, body=None):
+        first = int(path.rpartition("=")[2])
+        # Two entries a page, so that the pages are joined.
+        return {**whole, "entries": whole["entries"][first - 1 : first + 1]}
+
+    monkeypatch.setattr(Commands, "_call", answer)
+    expected = nullcontext() if verdict == "intact" else pytest.raises(ConflictError)
+    with expected:
+        Commands(json=True).audit(start)
+    shown = json.loads(capsys.readouterr().out)
+    assert shown["chain"] == verdict
+    assert len(shown["entries"]) == 6 - start
