--- a/packages/cardamomrun-node/src/cardamomrun_node/main.py
+++ b/packages/cardamomrun-node/src/cardamomrun_node/main.py
@@ -3,6 +3,7 @@
 import asyncio
 import signal
 import sys
+from json import dumps
 from pathlib import Path
 
 import fire
@@ -33,13 +34,19 @@
         start_logs(loaded.instance_id)
         asyncio.run(_run(loaded))
 
-    def check(self, settings: str) -> None:
+    def check(self, settings: str, json: bool = False) -> None:
         """Check a settings file without starting anything.
 
-        Example: cardamomrun-node check --settings demo/entry-1.jsonc
+        Files that the settings name are not read. --json gives machine-readable
+        output, also of errors.
+
+        Example: cardamomrun-node check --settings demo/entry-1.jsonc --json
         """
         loaded = load_settings(Path(settings))
-        print(f"{settings}: settings of {loaded.instance_id} are valid")
+        if json:
+            print(dumps({"instance_id": loaded.instance_id, "roles": loaded.roles}))
+        else:
+            print(f"{settings}: settings of {loaded.instance_id} are valid")
 
 
 async def _run(settings: NodeSettings) -> None:
@@ -67,7 +74,11 @@
 
 
 def _report(error: CardamomrunError) -> int:
-    print(f"cardamomrun-node: {error}", file=sys.stderr)
+    if "--json" in sys.argv:
+        body = {"error": error.kind, "message": error.message, "remedy": error.remedy}
+        print(dumps(body), file=sys.stderr)
+    else:
+        print(f"cardamomrun-node: {error}", file=sys.stderr)
     return error.exit_code
 
 
