Say that an instance may be behind while control is unreachable

Cause: `may_be_behind` was false on entry instances that reach each other while no control instance can be reached, although a change accepted behind a partition does not arrive at them. Ruled out: counting control instances among known members; their records are dropped 10 minutes after they failed, and control may be unreachable for hours. Change: `Fleet.may_be_behind` is true while the store has a leader record and no control instance is a live member. Conclusion: a side of a partition with a control instance but no majority is still shown as current; that needs the leader's lease in the record store.

--- a/packages/cardamomrun-fleet/src/cardamomrun_fleet/fleet.py
+++ b/packages/cardamomrun-fleet/src/cardamomrun_fleet/fleet.py
@@ -23,8 +23,8 @@
 )
 from cardamomrun_base.interfaces import RecordStore
 from cardamomrun_base.logs import PartLog
-from cardamomrun_base.model import InstanceId, MemberBody, MemberPhase
-from cardamomrun_base.settings import NodeSettings
+from cardamomrun_base.model import InstanceId, Kind, MemberBody, MemberPhase
+from cardamomrun_base.settings import NodeSettings, Role
 from cardamomrun_fleet.credentials import Credentials, Hello, load_fleet_key
 from cardamomrun_fleet.exchange import (
     Digests,
@@ -50,6 +50,7 @@
 
 __all__ = ["Fleet"]
 
+LEADER_KEY = "control"
 SNAPSHOT_PEER_COUNT = 2
 SNAPSHOT_WAIT_MS = 2_000
 SNAPSHOT_TIMEOUT_MS = 20_000
@@ -187,8 +188,12 @@
         return self.membership.members()
 
     def may_be_behind(self) -> bool:
-        """Return True until a peer answered, and while no known member answers."""
-        if self._synced_ms is None:
+        """Return True until a peer answered, and while no known member answers.
+
+        Also while the fleet has a control leader's record and no control instance is
+        reachable: a change accepted behind a partition would not arrive here.
+        """
+        if self._synced_ms is None or self._lacks_control():
             return True
         # Members considered failed count: to an isolated instance all others look so.
         known = {
@@ -200,6 +205,13 @@
         limit_ms = fleet.silence_ms + 2 * fleet.exchange_ms
         return self._clock.now_ms() - self._synced_ms > limit_ms
 
+    def _lacks_control(self) -> bool:
+        # The leader record outlives the member records of control instances, which
+        # are dropped some time after they failed.
+        if self._store.get(Kind.LEADER, LEADER_KEY) is None:
+            return False
+        return not any(Role.CONTROL in member.roles for member in self.members())
+
     def add_address(self, instance_id: InstanceId, peer_address: str) -> None:
         """Name the peer address of an instance that has no member record yet."""
         self._added[instance_id] = peer_address
