Answer with the leader's view of the voters on every control instance

Cause: `cardamomrun control` asks the first address that answers. A follower showed `may_lose_one` and `caught_up` as unknown or false, and an instance with a wiped data folder showed the voters of its settings, so an operator could not see when the next instance may be taken. Ruled out: answering 421 on followers, as the own role and term of each instance are wanted too. A wiped instance finds the leader by its record. Conclusion: the command says when the next instance may be taken, whichever is asked.

--- a/packages/cardamomrun-control/src/cardamomrun_control/agreement.py
+++ b/packages/cardamomrun-control/src/cardamomrun_control/agreement.py
@@ -8,7 +8,9 @@
 """
 
 import asyncio
+from dataclasses import replace
 
+from cardamomrun_base.model import Kind
 from cardamomrun_control.elections import Elections
 from cardamomrun_control.following import Following
 from cardamomrun_control.messages import (
@@ -19,7 +21,7 @@
     VoteRequest,
 )
 from cardamomrun_control.state import VoterEntry
-from cardamomrun_control.status import Status, VoterStatus
+from cardamomrun_control.status import LEADER_KEY, Status, StatusRequest, VoterStatus
 
 __all__ = ["Agreement", "Status", "VoterStatus"]
 
@@ -38,6 +40,7 @@
         self._fleet.handle(AppendRequest, self._on_append)
         self._fleet.handle(SnapshotChunk, self._on_chunk)
         self._fleet.handle(IdentityRequest, self._on_identity)
+        self._fleet.handle(StatusRequest, self._on_status)
         # A replica that restarts may have promised a leader its lease just before.
         self._hear()
         self._spawn(self._run_elections())
@@ -88,6 +91,31 @@
             None if self._failure is None else str(self._failure),
         )
 
+    async def status_with_leader(self) -> Status:
+        """Return the own status, with what only the leader knows if it answers."""
+        own = self.status()
+        leader_id = self._leader_id or self._leader_on_record()
+        if own.holds_lease or leader_id in (None, self._instance_id):
+            return own
+        answer = await self._request(leader_id, StatusRequest())
+        if not isinstance(answer, Status) or not answer.holds_lease:
+            return own
+        return replace(
+            own,
+            voters=answer.voters,
+            may_lose_one=answer.may_lose_one,
+            may_change_voters=answer.may_change_voters,
+        )
+
+    def _leader_on_record(self) -> str | None:
+        # An instance with a new data folder refuses the leader's messages, which are
+        # meant for its old one, and learns the leader from the record only.
+        record = self._fleet.store.get(Kind.LEADER, LEADER_KEY)
+        return None if record is None else record.content.instance_id
+
+    async def _on_status(self, peer_id: str, request: StatusRequest) -> Status:
+        return self.status()
+
     def _voter_status(self, voter: VoterEntry) -> VoterStatus:
         peer = self._peers.get(voter.instance_id)
         heard_ms_ago = None
--- a/packages/cardamomrun-control/src/cardamomrun_control/operator_api.py
+++ b/packages/cardamomrun-control/src/cardamomrun_control/operator_api.py
@@ -348,10 +348,10 @@
 
 
 class ControlHandler(OperatorHandler):
-    """Answers with this instance's view of the control instances."""
+    """Answers with this instance's role and the leader's view of the voters."""
 
     async def get(self) -> None:
-        self.finish(asdict(self.context.agreement.status()))
+        self.finish(asdict(await self.context.agreement.status_with_leader()))
 
 
 class VotersHandler(OperatorHandler):
--- a/packages/cardamomrun-control/src/cardamomrun_control/publisher.py
+++ b/packages/cardamomrun-control/src/cardamomrun_control/publisher.py
@@ -20,10 +20,10 @@
 from cardamomrun_control.agreement import Agreement
 from cardamomrun_control.checked import CheckedDocuments
 from cardamomrun_control.state import ControlState, SetRoster
+from cardamomrun_control.status import LEADER_KEY
 
 __all__ = ["LEADER_KEY", "ROSTER_KEY", "Publisher"]
 
-LEADER_KEY = "control"
 ROSTER_KEY = "claims"
 ROUND_MS = 200
 
--- a/packages/cardamomrun-control/src/cardamomrun_control/status.py
+++ b/packages/cardamomrun-control/src/cardamomrun_control/status.py
@@ -2,7 +2,12 @@
 
 from dataclasses import dataclass
 
-__all__ = ["Status", "VoterStatus"]
+from cardamomrun_base.codec import message
+
+__all__ = ["LEADER_KEY", "Status", "StatusRequest", "VoterStatus"]
+
+# Key of the record of kind `leader`.
+LEADER_KEY = "control"
 
 
 @dataclass(frozen=True)
@@ -17,11 +22,18 @@
     replaced: bool
 
 
+@message("control-status-request")
+@dataclass(frozen=True)
+class StatusRequest:
+    """Asks the leader for its `Status`."""
+
+
+@message("control-status")
 @dataclass(frozen=True)
 class Status:
     """The agreement as this instance sees it.
 
-    `may_lose_one` and `may_change_voters` are None on an instance that does not lead.
+    `may_lose_one` and `may_change_voters` are None if no leader says so.
     `failure` says why the data folder is out of use; the instance takes no part then.
     """
 
