--- a/tests/processes.py
+++ b/tests/processes.py
@@ -226,6 +226,24 @@
         del self.hosts[name]
         return load_settings(path)
 
+    async def operate(self, *arguments: str) -> Any:
+        """Run a command of the command line and return its JSON."""
+        (self.folder / "token").write_text(OPERATOR_TOKEN)
+        control = [self.admin(name) for name in self.names("control")]
+        settings = {"control": control, "token_file": "token", "timeout_ms": 5_000}
+        path = self.folder / "cardamomrun.jsonc"
+        path.write_text(json.dumps(settings))
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            *("-m", "cardamomrun_operators.main", f"--settings={path}"),
+            *(*arguments, "--json"),
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+        )
+        output, errors = await process.communicate()
+        assert process.returncode == 0, errors.decode()
+        return json.loads(output)
+
     async def servers(self, entry: str) -> dict[str, Any]:
         """Return the backend servers of rota-desk as an entry instance sees them."""
         path = "/v1/environments/rota-desk/production/servers"
