Let a follower lag when the leader is killed

Cause: the kill test passed on a trial copy whose voters ignored how long a candidate's log is: both followers had nearly always the same entries. Change: one follower is stopped for 0.1 to 0.4 s before each kill and goes on with the election. Conclusion: the test now shows a lost change if a shorter log wins.

--- a/tests/test_control_faults.py
+++ b/tests/test_control_faults.py
@@ -68,7 +68,7 @@
 
 
 class Killer:
-    """Kills the leader at random points and starts it again."""
+    """Kills the leader at random points, with a follower behind, and starts it again."""
 
     def __init__(self, group, rng, kill_count):
         self.group, self.rng, self.left = group, rng, kill_count
@@ -80,8 +80,14 @@
             self.left -= 1
             await asyncio.sleep(self.rng.uniform(0.2, 0.7))
             leader = await until(self.group.leader)
+            # A follower that lags must not win the election with its shorter log.
+            others = [n for n in self.group.names("control") if n != leader]
+            lagging = self.rng.choice(others)
+            self.group.signal(lagging, signal.SIGSTOP)
+            await asyncio.sleep(self.rng.uniform(0.1, 0.4))
             self.group.kill(leader)
             killed_s = time.monotonic()
+            self.group.signal(lagging, signal.SIGCONT)
             await until(self.group.leader, LEADER_CHANGE_S)
             self.gaps.append((killed_s, time.monotonic()))
             self.group.start(leader)
