Measure recovery of a control instance; test its status and may_be_behind

Cause: the recovery time was not measured against the length of the log, and the two corrections found with processes had no test in their packages.

--- a/packages/cardamomrun-control/tests/test_agreement.py
+++ b/packages/cardamomrun-control/tests/test_agreement.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 
 from cardamomrun_base.errors import ConflictError, StorageError, UnavailableError
+from cardamomrun_base.model import Kind, LeaderBody, Record
 
 from .builders import Cluster, Network, Replica, until, virtual_time
 from .test_state import apply
@@ -134,10 +135,19 @@
         status = leader.agreement.status()
         assert [v.instance_id for v in status.voters if v.replaced] == [wiped.name]
         assert status.may_lose_one is False
+        # Operators may ask any instance; the wiped one knows the leader by its record.
+        body = LeaderBody(leader.name, leader.agreement.term, "", "")
+        record = Record.of(Kind.LEADER, "control", leader.name, (1, 1), body)
+        for replica in (wiped, other):
+            replica.fleet.store.put(record)
+            shown = await replica.agreement.status_with_leader()
+            assert shown.role == "follower" and shown.may_lose_one is False
+            assert [v.instance_id for v in shown.voters if v.replaced] == [wiped.name]
         await other.crash()
         await until(lambda: not leader.agreement.is_leader)
         await asyncio.sleep(20)
         assert not any(r.agreement.is_leader for r in cluster.running())
+        assert (await wiped.agreement.status_with_leader()).may_lose_one is None
         await other.start()
         leader = await cluster.leader()
         with pytest.raises(ConflictError):
--- a/packages/cardamomrun-fleet/tests/test_fleet.py
+++ b/packages/cardamomrun-fleet/tests/test_fleet.py
@@ -1,7 +1,7 @@
 """Real fleets in one process on a loopback address."""
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import pytest
 
@@ -12,7 +12,7 @@
     PeerTimeoutError,
     PeerUnreachableError,
 )
-from cardamomrun_base.model import Kind
+from cardamomrun_base.model import Kind, LeaderBody, Record
 from cardamomrun_fleet import Fleet
 from cardamomrun_fleet.links import Purpose
 
@@ -194,3 +194,23 @@
                 await check(one, two, relays)
 
     asyncio.run(run())
+
+
+def test_an_instance_without_control_may_be_behind(tmp_path):
+    """Guards against a side of a partition that calls itself current without control."""
+
+    async def check():
+        async with running(tmp_path, 2) as (one, two):
+            await until(lambda: not one.may_be_behind(), "n0 has caught up")
+            body = LeaderBody("control-1", 1, "127.0.0.1:1", "127.0.0.1:2")
+            record = Record.of(Kind.LEADER, "control", "control-1", (1, 1), body)
+            two.store.put(record)
+            await until(one.may_be_behind, "the leader is not a member")
+            member = replace(two.membership.get("n1"), roles=("control",))
+            version = two.membership.incarnation + 1, 1
+            member = replace(member, instance_id="control-1")
+            record = Record.of(Kind.MEMBER, "control-1", "control-1", version, member)
+            two.store.put(record)
+            await until(lambda: not one.may_be_behind(), "control is a member again")
+
+    asyncio.run(check())
--- a/tests/test_control_faults.py
+++ b/tests/test_control_faults.py
@@ -692,3 +692,38 @@
     """Guards against the same when many overlay neighbours die together."""
     group = processes(control_count=1, entry_count=40)
     asyncio.run(kill_at_once(group, 10, record_property))
+
+
+@pytest.mark.soak
+@pytest.mark.timeout(400)
+@pytest.mark.parametrize("snapshot_entry_count", [100, 1_000_000])
+@pytest.mark.parametrize("change_count", [300, 3_000])
+def test_recovery_time_of_a_control_instance(
+    processes, record_property, change_count, snapshot_entry_count
+):
+    """Guards against recovery that grows with the number of changes ever made."""
+
+    async def scenario():
+        group = processes(control_count=3, entry_count=0)
+        group.control_settings = {"snapshot_entry_count": snapshot_entry_count}
+        leader = await start(group)
+        operator = Operator(group)
+        for version in range(change_count):
+            body = change(version + 1, version, version)
+            answer = await operator.send("trial/apply", body, leader)
+            assert answer.status == 200
+        leader = await until(group.leader)
+        name = next(n for n in group.names("control") if n != leader)
+        group.kill(name)
+        started_s = time.monotonic()
+        group.start(name)
+        await until(partial(group.status, name))
+        status = await until(partial(control_at, group, name), IN_FORCE_S)
+        figures(
+            record_property,
+            log_entry_count=status["last_index"],
+            snapshot_entry_count=snapshot_entry_count,
+            recovery_from_process_start_s=round(time.monotonic() - started_s, 2),
+        )
+
+    asyncio.run(scenario())
