Answer GET /v1/audit with the state of its chain

Cause: docs/interfaces.md and the command line expect the field `chain`, which control did not send, so `cardamomrun audit` reported no edited entry. Change: the handler verifies the entries of the page after the hash of the entry before them. The fault tests require an intact chain on every page. A soak test cuts an entry instance off for 6 and 20 s. Conclusion: an edited entry is named by the command.

--- a/packages/cardamomrun-control/src/cardamomrun_control/operator_api.py
+++ b/packages/cardamomrun-control/src/cardamomrun_control/operator_api.py
@@ -8,7 +8,7 @@
 import base64
 import binascii
 import json
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import asdict, dataclass
 from functools import wraps
 from typing import Any
@@ -32,6 +32,7 @@
 from cardamomrun_base.model import Stage, environment_id
 from cardamomrun_base.settings import Voter
 from cardamomrun_control.agreement import Agreement
+from cardamomrun_control.audit import GENESIS_HASH, AuditEntry, AuditError, verify
 from cardamomrun_control.checked import CheckedDocuments
 from cardamomrun_control.errors import UnknownEndError
 from cardamomrun_control.state import (
@@ -330,7 +331,10 @@
 
 
 class AuditHandler(OperatorHandler):
-    """Answers with audit entries, at most `AUDIT_PAGE_COUNT` from a number on."""
+    """Answers with audit entries, at most `AUDIT_PAGE_COUNT` from a number on.
+
+    `chain` is "intact", or says which of these entries is missing or was edited.
+    """
 
     async def get(self) -> None:
         given = self.get_query_argument("from", "1")
@@ -338,11 +342,14 @@
             raise _bad_request("from must be the number of an audit entry")
         await self.context.agreement.confirm_leadership()
         start = max(int(given), 1) - 1
-        entries = self.context.state.audit[start : start + AUDIT_PAGE_COUNT]
+        audit = self.context.state.audit
+        entries = audit[start : start + AUDIT_PAGE_COUNT]
+        before = audit[start - 1].hash if 0 < start <= len(audit) else GENESIS_HASH
         self.finish(
             {
                 "entries": [asdict(entry) for entry in entries],
-                "last_number": len(self.context.state.audit),
+                "last_number": len(audit),
+                "chain": _chain_state(entries, before),
             }
         )
 
@@ -375,6 +382,14 @@
         self.finish({"voters": [asdict(entry) for entry in voters.entries]})
 
 
+def _chain_state(entries: Sequence[AuditEntry], previous_hash: str) -> str:
+    try:
+        verify(entries, previous_hash)
+    except AuditError as error:
+        return str(error)
+    return "intact"
+
+
 def _parsed(data: bytes) -> Any:
     try:
         return json.loads(data)
--- a/packages/cardamomrun-control/tests/test_service.py
+++ b/packages/cardamomrun-control/tests/test_service.py
@@ -1,6 +1,7 @@
 import base64
 import json
 from contextlib import AsyncExitStack
+from dataclasses import replace
 
 import pytest
 from tornado.httpclient import AsyncHTTPClient
@@ -96,6 +97,11 @@
         assert (record.version, record.content.document) == ((0, 3), document())
         audit = await node.call("/v1/audit?from=2")
         assert [e["outcome"] for e in audit[1]["entries"]][-1] == "done"
+        assert audit[1]["chain"] == "intact"
+        trail = node.service._state.audit
+        trail[2] = replace(trail[2], operator="mallory")
+        audit = await node.call("/v1/audit?from=2")
+        assert audit[1]["chain"] == "audit entry 3 was edited"
         history = await node.call(f"{BASE}/trial/history")
         assert [v["version"] for v in history[1]["versions"]] == [1, 2, 3]
 
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -348,6 +348,7 @@
                 "GET", f"/v1/audit?from={len(entries) + 1}"
             )
             assert answer.status == 200, answer
+            assert answer.body["chain"] == "intact"
             entries += [AuditEntry(**entry) for entry in answer.body["entries"]]
             if len(entries) == answer.body["last_number"]:
                 return entries
--- a/tests/test_control_faults.py
+++ b/tests/test_control_faults.py
@@ -727,3 +727,42 @@
         )
 
     asyncio.run(scenario())
+
+
+@pytest.mark.soak
+@pytest.mark.parametrize("cut_s", [6, 20])
+def test_an_entry_instance_catches_up_after_a_long_cut(
+    processes, record_property, cut_s
+):
+    """Guards against pauses between attempts to connect that outlast the target."""
+
+    async def scenario(relays):
+        group = processes(control_count=1, entry_count=5)
+        await group.relay(relays)
+        await start(group)
+        await until(partial(know_all, group))
+        operator = Operator(group)
+        assert (await operator.send("trial/apply", change(1, 0, 1))).status == 200
+        others = [name for name in group.hosts if name != "entry-3"]
+        async with Observer(group, ["entry-3"], TRIAL) as observer:
+            await until(partial(observer.has_reached, "entry-3", 1), IN_FORCE_S)
+            relays.cut(["entry-3"], others)
+            relays.cut(others, ["entry-3"])
+            cut_at_s = time.monotonic()
+            assert (await operator.send("trial/apply", change(2, 1, 2))).status == 200
+            await until(partial(has_passed, cut_at_s + cut_s), cut_s + 1)
+            assert observer.version("entry-3") == 1
+            relays.heal()
+            healed_s = time.monotonic()
+            await until(partial(observer.has_reached, "entry-3", 2), IN_FORCE_S)
+            figures(
+                record_property,
+                cut_s=cut_s,
+                in_force_after_heal_s=round(time.monotonic() - healed_s, 2),
+            )
+
+    async def relayed():
+        async with Relays() as relays:
+            await scenario(relays)
+
+    asyncio.run(relayed())
