Parse the document if its parsed form is not understood

Cause: found by reading: an entry instance that cannot decode `checked`, as from a control instance of a later release, kept the version before, although the document itself may be understood. Change: `LiveEnvironments` parses the document's bytes then; a table of four parsed forms in tests/test_control_faults.py.

--- a/packages/cardamomrun-node/src/cardamomrun_node/environments.py
+++ b/packages/cardamomrun-node/src/cardamomrun_node/environments.py
@@ -1,8 +1,9 @@
 """Documents in force on this instance, taken from the record store."""
 
 from collections.abc import Iterable
+from contextlib import suppress
 
-from cardamomrun_base.codec import decode
+from cardamomrun_base.codec import CodecError, decode
 from cardamomrun_base.documents import EnvironmentDocument, load_document
 from cardamomrun_base.errors import CardamomrunError
 from cardamomrun_base.headers import TRIAL_HOST_PREFIX
@@ -80,7 +81,12 @@
 
 def _document_of(body: EnvironmentBody) -> EnvironmentDocument:
     if body.checked:
-        return decode(body.checked)
+        # A control instance of another release may encode fields that are not known
+        # here; the document itself may still be understood.
+        with suppress(CodecError):
+            document = decode(body.checked)
+            if isinstance(document, EnvironmentDocument):
+                return document
     return load_document(body.document, body.environment)
 
 
--- a/tests/test_control_faults.py
+++ b/tests/test_control_faults.py
@@ -10,15 +10,21 @@
 import time
 from functools import partial
 
+import cbor2
 import pytest
 
 from cardamomrun_base.clock import SystemClock
+from cardamomrun_base.codec import encode
+from cardamomrun_base.documents import document_digest, load_document
 from cardamomrun_base.errors import CardamomrunError
 from cardamomrun_base.http_client import call
-from cardamomrun_base.model import Kind
+from cardamomrun_base.messages import Settled
+from cardamomrun_base.model import EnvironmentBody, Kind, Record
 from cardamomrun_bench.caller import Caller, CallerError
 from cardamomrun_control.audit import verify
 from cardamomrun_fleet.fleet import Fleet
+from cardamomrun_fleet.store import Store
+from cardamomrun_node.environments import LiveEnvironments
 
 from .processes import (
     OPERATOR_TOKEN,
@@ -766,3 +772,18 @@
             await scenario(relays)
 
     asyncio.run(relayed())
+
+
+@pytest.mark.parametrize(
+    "checked",
+    [b"", b"no cbor", encode(Settled()), cbor2.dumps(["environment-document", [1]])],
+)
+def test_a_parsed_form_that_is_not_understood(checked):
+    """Guards against an entry instance that keeps an old version while instances of
+    two releases run."""
+    data = json.dumps(document()).encode()
+    body = EnvironmentBody(TRIAL, 1, 1, document_digest(data), data, checked)
+    store = Store(SystemClock())
+    environments = LiveEnvironments(store)
+    store.put(Record.of(Kind.ENVIRONMENT, TRIAL, "control-1", (0, 1), body))
+    assert environments.get(TRIAL).document == load_document(data, "document")
