Forget what a wiped instance held once its new identity is seen

Cause: an instance that lost its data folder and restarted within the election timeout was still shown as caught up and counted for `may_lose_one`, as the leader kept the progress of the old folder. Ruled out: a fault of the test; the same check in virtual time fails without the fix (`caught_up=True, heard_ms_ago=445.2, replaced=True`). Change: progress and last contact are reset when another replica id answers. Conclusion: `cardamomrun control` no longer offers one more instance too early.

--- a/packages/cardamomrun-control/src/cardamomrun_control/replication.py
+++ b/packages/cardamomrun-control/src/cardamomrun_control/replication.py
@@ -152,6 +152,9 @@
                     "voters and add it again"
                 )
             peer.refused_replica = True
+            # What the old folder held and promised is gone with it.
+            peer.match_index = 0
+            peer.acknowledged_ms = float("-inf")
             return False
         peer.refused_replica = False
         if answer.term > term:
