--- a/packages/cardamomrun-control/src/cardamomrun_control/publisher.py
+++ b/packages/cardamomrun-control/src/cardamomrun_control/publisher.py
@@ -22,10 +22,10 @@
 from cardamomrun_control.checked import CheckedDocuments
 from cardamomrun_control.joint_phase import JointPhase
 from cardamomrun_control.state import ControlState, EndJointRoster, SetRoster
+from cardamomrun_control.status import LEADER_KEY
 
 __all__ = ["LEADER_KEY", "ROSTER_KEY", "Publisher"]
 
-LEADER_KEY = "control"
 ROSTER_KEY = "claims"
 ROUND_MS = 200
 # Far below the roster lease that it renews.
--- a/packages/cardamomrun-control/tests/test_agreement.py
+++ b/packages/cardamomrun-control/tests/test_agreement.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 
 from cardamomrun_base.errors import ConflictError, StorageError, UnavailableError
+from cardamomrun_base.model import Kind, LeaderBody, Record
 
 from .builders import Cluster, Network, Replica, until, virtual_time
 from .test_state import apply
@@ -117,6 +118,11 @@
         check_equal(replicas)
 
 
+def shown(leader, name):
+    voters = leader.agreement.status().voters
+    return next(voter for voter in voters if voter.instance_id == name)
+
+
 @virtual_time
 async def test_wiped_instance_does_not_vote_until_added_again(tmp_path):
     """Guards against two leaders of one term through a vote given twice."""
@@ -129,15 +135,28 @@
         shutil.rmtree(wiped.settings.control.data_folder)
         wiped.settings.control.data_folder.mkdir()
         await wiped.start()
+        # The leader heard the old folder less than an election timeout ago.
+        await until(lambda: shown(leader, wiped.name).replaced)
+        assert not shown(leader, wiped.name).caught_up
+        assert leader.agreement.status().may_lose_one is False
         await asyncio.sleep(3)
         assert wiped.agreement.applied_index == 0
         status = leader.agreement.status()
         assert [v.instance_id for v in status.voters if v.replaced] == [wiped.name]
         assert status.may_lose_one is False
+        # Operators may ask any instance; the wiped one knows the leader by its record.
+        body = LeaderBody(leader.name, leader.agreement.term, "", "")
+        record = Record.of(Kind.LEADER, "control", leader.name, (1, 1), body)
+        for replica in (wiped, other):
+            replica.fleet.store.put(record)
+            status = await replica.agreement.status_with_leader()
+            assert status.role == "follower" and status.may_lose_one is False
+            assert [v.instance_id for v in status.voters if v.replaced] == [wiped.name]
         await other.crash()
         await until(lambda: not leader.agreement.is_leader)
         await asyncio.sleep(20)
         assert not any(r.agreement.is_leader for r in cluster.running())
+        assert (await wiped.agreement.status_with_leader()).may_lose_one is None
         await other.start()
         leader = await cluster.leader()
         with pytest.raises(ConflictError):
