Read only the counted metrics in the tests of ejections

Cause: get_sample_value collects the whole registry when a sample is missing; in a full run that calls the gauge of a quarantine that an earlier test made with a clock of its event loop, which has ended: RuntimeError, no running event loop.

Ruled out: ignoring errors in the gauge; a node has one quarantine and a running loop.

Change: the tests collect the metric that they are about, with the same assertions.

Conclusion: the tests do not depend on what ran before them.

--- a/packages/cardamomrun-backends/src/cardamomrun_backends/metrics.py
+++ b/packages/cardamomrun-backends/src/cardamomrun_backends/metrics.py
@@ -8,7 +8,14 @@
 from cardamomrun_base.interfaces import AttemptResult
 from cardamomrun_base.model import BackendBody, EnvironmentId, ServerId
 
-__all__ = ["ATTEMPTS", "EJECTIONS_GRANTED", "EjectionCounts"]
+__all__ = [
+    "ATTEMPTS",
+    "DETECTION_SECONDS",
+    "EJECTIONS_GRANTED",
+    "EJECTIONS_HELD_BACK",
+    "EJECTIONS_HONOURED",
+    "EjectionCounts",
+]
 
 # Without a bad attempt for this long, the next one begins a new fault. At the target
 # scale an instance sees a server about once a second with a subset of 12.
--- a/tests/test_observability.py
+++ b/tests/test_observability.py
@@ -6,9 +6,13 @@
 from pathlib import Path
 
 import pytest
-from prometheus_client import REGISTRY
 
-from cardamomrun_backends.metrics import EjectionCounts
+from cardamomrun_backends.metrics import (
+    DETECTION_SECONDS,
+    EJECTIONS_HELD_BACK,
+    EJECTIONS_HONOURED,
+    EjectionCounts,
+)
 from cardamomrun_base.http_client import call
 from cardamomrun_base.interfaces import AttemptResult
 from cardamomrun_base.model import BackendBody, BackendPhase
@@ -170,9 +174,13 @@
     )  # fmt: skip
 
 
-def _counted(name: str, environment: str) -> float:
-    value = REGISTRY.get_sample_value(name, {"environment": environment})
-    return 0.0 if value is None else value
+def _counted(metric, suffix: str, environment: str) -> float:
+    # The whole registry would also read gauges of objects of other tests, whose event
+    # loop has ended.
+    labels = {"environment": environment}
+    (family,) = metric.collect()
+    samples = [one for one in family.samples if one.labels == labels]
+    return sum(one.value for one in samples if one.name.endswith(suffix))
 
 
 def test_an_ejection_that_the_floor_forbids_is_counted_once():
@@ -181,8 +189,8 @@
     one, two = ("rota-1",), ("rota-1", "rota-2")
     for wanted, honoured in ((two, one), (two, one), (two, two), ((), ())):
         counts.note("held/trial", wanted, honoured, 0)
-    assert _counted("cardamomrun_ejections_held_back_total", "held/trial") == 1
-    assert _counted("cardamomrun_ejections_honoured_total", "held/trial") == 2
+    assert _counted(EJECTIONS_HELD_BACK, "_total", "held/trial") == 1
+    assert _counted(EJECTIONS_HONOURED, "_total", "held/trial") == 2
 
 
 @pytest.mark.parametrize(
@@ -207,7 +215,7 @@
         counts.attempt_ended(_server(environment), AttemptResult.GOOD, now_ms + 1)
     counts.note(environment, ("rota-1",), ("rota-1",), arrival_ms)
     counts.note(environment, ("rota-1",), (), arrival_ms + 1)
-    total_s = _counted("cardamomrun_detection_seconds_sum", environment)
+    total_s = _counted(DETECTION_SECONDS, "_sum", environment)
     assert total_s == pytest.approx(detection_s)
 
 
