--- a/packages/cardamomrun-control/src/cardamomrun_control/operator_api.py
+++ b/packages/cardamomrun-control/src/cardamomrun_control/operator_api.py
@@ -367,9 +367,7 @@
     @audited("change voters")
     async def post(self) -> None:
         agreement = self.context.agreement
-        body = self.fields(
-            action=str, instance_id=str, peer_address=str, change_number=int
-        )
+        body = self.fields(action=str, instance_id=str, peer_address=str)
         if body["action"] == "add":
             voter = _checked_voter(body["instance_id"], body["peer_address"])
             voters = await agreement.add_voter(
--- a/packages/cardamomrun-operators/src/cardamomrun_operators/commands.py
+++ b/packages/cardamomrun-operators/src/cardamomrun_operators/commands.py
@@ -274,14 +274,16 @@
 
 
 def _voters_body(action: str, instance_id: str, peer_address: str) -> dict[str, str]:
-    if action == "add" and peer_address:
-        return {"add": instance_id, "peer_address": peer_address}
-    if action == "remove" and not peer_address:
-        return {"remove": instance_id}
-    raise UsageError(
-        "voters needs `add INSTANCE_ID PEER_ADDRESS` or `remove INSTANCE_ID`.",
-        remedy="see cardamomrun voters --help",
-    )
+    if (action, bool(peer_address)) not in (("add", True), ("remove", False)):
+        raise UsageError(
+            "voters needs `add INSTANCE_ID PEER_ADDRESS` or `remove INSTANCE_ID`.",
+            remedy="see cardamomrun voters --help",
+        )
+    return {
+        "action": action,
+        "instance_id": instance_id,
+        "peer_address": peer_address,
+    }
 
 
 def _chain_fault(entries: list[dict[str, Any]]) -> str:
