Report failures early and judge them at once

Change: a report with failures follows the last one after 125 ms; environments with new failures are judged each 50 ms, at most 5 at a time.

--- a/packages/cardamomrun-backends/src/cardamomrun_backends/decider.py
+++ b/packages/cardamomrun-backends/src/cardamomrun_backends/decider.py
@@ -26,6 +26,10 @@
 EJECTION_LEASE_MS = 5_000
 RENEW_MS = 1_000
 DECIDE_MS = 250
+# Environments with new failures are judged at this interval, a few at a time, so that
+# failures in all of them at once do not keep the leader from its heartbeats.
+URGENT_MS = 50
+URGENT_COUNT = 5
 # Instances that stopped reporting are left out of the status after this time.
 REPORT_MEMORY_MS = 60_000
 
@@ -74,6 +78,8 @@
         self._leadership = leadership
         self._known = KnownServers(clock, fleet)
         self._services: dict[EnvironmentId, _Service] = {}
+        # Ordered, so that each environment gets its turn.
+        self._urgent: dict[EnvironmentId, None] = {}
         self._in_force: dict[InstanceId, InForce] = {}
         self._lead_start: tuple[int, float] | None = None
         self._lead_term: int | None = None
@@ -100,15 +106,29 @@
         """Decide and publish until cancelled."""
         while True:
             self.tick()
-            await self._clock.sleep_ms(DECIDE_MS)
+            for _ in range(DECIDE_MS // URGENT_MS - 1):
+                await self._clock.sleep_ms(URGENT_MS)
+                self.tick_urgent()
+            await self._clock.sleep_ms(URGENT_MS)
 
     def tick(self) -> None:
         """Judge all environments and publish what changed or is due."""
         if not self._follow_leadership():
             return
+        self._urgent.clear()
         for environment in list(self._environments.all()):
             self._judge(environment)
 
+    def tick_urgent(self) -> None:
+        """Judge some environments with new failures."""
+        if not self._follow_leadership():
+            return
+        for name in list(self._urgent)[:URGENT_COUNT]:
+            del self._urgent[name]
+            environment = self._environments.get(name)
+            if environment is not None:
+                self._judge(environment)
+
     async def _on_report(self, peer_id: InstanceId, report: Report) -> ReportAnswer:
         if not self._follow_leadership():
             return ReportAnswer(False, self._leadership.term)
@@ -126,6 +146,8 @@
             if environment is not None:
                 judgement = self._service(environment).judgement
                 judgement.add(report.failure_domain, evidence)
+                if evidence.failed_count or evidence.unreachable_count:
+                    self._urgent[evidence.environment] = None
 
     def _note(
         self, peer_id: InstanceId, before: InForce | None, report: Report
--- a/packages/cardamomrun-backends/src/cardamomrun_backends/evidence.py
+++ b/packages/cardamomrun-backends/src/cardamomrun_backends/evidence.py
@@ -20,13 +20,20 @@
     AttemptResult.SLOW,
     AttemptResult.UNREACHABLE,
 )
+# Failures are rare while servers are well, so reports that hurry for them are too.
+# Slow answers are ordinary at a small rate and wait for the next report.
+FAILURES = (AttemptResult.FAILED, AttemptResult.UNREACHABLE)
 
 
 class Evidence:
-    """Evidence to report; shed answers and results without evidence are not counted."""
+    """Evidence to report; shed answers and results without evidence are not counted.
+
+    `has_failures` is True if an attempt failed since the last report.
+    """
 
     def __init__(self) -> None:
         self._counts: dict[tuple[EnvironmentId, ServerId], Counter[AttemptResult]] = {}
+        self.has_failures = False
 
     def add(
         self,
@@ -42,12 +49,14 @@
         if key not in self._counts and len(self._counts) >= MAX_SERVER_COUNT:
             return
         counts = self._counts.setdefault(key, Counter())
+        self.has_failures |= result in FAILURES
         counts[result] = min(MAX_ATTEMPT_COUNT, counts[result] + count)
 
     def take(self) -> tuple[BackendEvidence, ...]:
         """Return the counts since the last call and begin anew."""
         taken = self._counts
         self._counts = {}
+        self.has_failures = False
         return tuple(_evidence(key, counts) for key, counts in taken.items())
 
     def put_back(self, evidence: Iterable[BackendEvidence]) -> None:
--- a/packages/cardamomrun-backends/src/cardamomrun_backends/reporter.py
+++ b/packages/cardamomrun-backends/src/cardamomrun_backends/reporter.py
@@ -13,6 +13,10 @@
 
 LEADER_KEY = "control"
 ROSTER_KEY = "claims"
+# With failures, reports may follow each other at this interval. Waiting for the next
+# regular report was half of the time to detect a server that fails all work.
+EARLY_REPORT_MS = 125
+EARLY_POLL_MS = 25
 REQUEST_TIMEOUT_MS = 1_000
 # Evidence older than this describes servers as they were, and is dropped.
 MAX_EVIDENCE_AGE_MS = 10_000
@@ -52,7 +56,15 @@
         """Report until cancelled."""
         while True:
             await self.report()
-            await self._clock.sleep_ms(self._settings.report_ms)
+            await self._wait_until_due()
+
+    async def _wait_until_due(self) -> None:
+        """Wait for `report_ms`, or for a part of it if attempts failed meanwhile."""
+        due_ms = self._clock.now_ms() + self._settings.report_ms
+        await self._clock.sleep_ms(min(EARLY_REPORT_MS, self._settings.report_ms))
+        while self._clock.now_ms() < due_ms and not self._evidence.has_failures:
+            left_ms = due_ms - self._clock.now_ms()
+            await self._clock.sleep_ms(min(EARLY_POLL_MS, left_ms))
 
     async def report(self) -> None:
         """Send one report if a leader is known; keep it if that fails."""
--- a/packages/cardamomrun-backends/tests/test_decider.py
+++ b/packages/cardamomrun-backends/tests/test_decider.py
@@ -312,3 +312,36 @@
     report = entry.report(TAKEN)[1]
     assert report.evidence == ()
     assert report.versions_in_force == ((ENVIRONMENT, 1),)
+
+
+def test_failures_hurry_the_next_report():
+    # Guards against failures that wait for the regular report, which was half of the
+    # detection time of a server that fails all work.
+    for result, expected_ms in [(AttemptResult.FAILED, 125), (AttemptResult.SLOW, 500)]:
+        entry = Entry()
+        entry.attempt(server("b1"), result)
+        started_ms = entry.clock.now_ms()
+        asyncio.run(entry.reporter._wait_until_due())
+        assert entry.clock.now_ms() - started_ms == expected_ms
+
+
+def test_failures_are_judged_before_the_regular_decision():
+    # Guards against a decision that waits 250 ms for its turn.
+    control = Control()
+    control.run_ms(6_000)
+    for _ in range(3):
+        control.report()
+    control.clock.advance_ms(50)
+    control.decider.tick_urgent()
+    assert control.grants()[-1].content.server_ids == ("b3",)
+
+
+def test_reports_without_failures_cause_no_urgent_decision():
+    # Guards against decisions for all services 20 times a second.
+    control = Control()
+    control.run_ms(6_000)
+    control.report(failed_id=None)
+    before = len(control.grants())
+    control.clock.advance_ms(2_000)
+    control.decider.tick_urgent()
+    assert len(control.grants()) == before
--- a/packages/cardamomrun-bench/src/cardamomrun_bench/ejection_policies.py
+++ b/packages/cardamomrun-bench/src/cardamomrun_bench/ejection_policies.py
@@ -6,7 +6,7 @@
 
 import numpy as np
 
-from cardamomrun_backends.decider import DECIDE_MS
+from cardamomrun_backends.decider import DECIDE_MS, URGENT_MS
 from cardamomrun_backends.floor import (
     allowed_removals,
     avoidance_allowance,
@@ -15,6 +15,7 @@
 from cardamomrun_backends.judgement import ServiceJudgement
 from cardamomrun_backends.profiles import JudgementProfile, profile_settings
 from cardamomrun_backends.recent_failures import RecentFailures
+from cardamomrun_backends.reporter import EARLY_REPORT_MS
 from cardamomrun_backends.server_state import MIN_WEIGHT, SLOW_START_MS, ServerState
 from cardamomrun_backends.servers import ServiceServers
 from cardamomrun_base.clock import Clock
@@ -192,7 +193,8 @@
         # Instances report at different moments of the interval.
         spread = np.arange(service.instance_count) / service.instance_count
         self._next_report_ms = REPORT_MS * spread
-        self._next_decision_ms = DECIDE_MS
+        self._last_report_ms = self._next_report_ms - REPORT_MS
+        self._next_decision_ms: float = DECIDE_MS
         self._granted: tuple[str, ...] = ()
         self._honoured: tuple[str, ...] = ()
         self._pending: list[tuple[float, tuple[str, ...]]] = []
@@ -213,6 +215,12 @@
         np.add.at(self._counts, (instance, server, result), 1)
         failed = (result == FAILED) | (result == UNREACHABLE)
         self._dirty[instance[failed], server[failed]] = True
+        rows_failed = np.unique(instance[failed])
+        early_ms = np.maximum(
+            now_ms, self._last_report_ms[rows_failed] + EARLY_REPORT_MS
+        )
+        due_ms = np.minimum(self._next_report_ms[rows_failed], early_ms)
+        self._next_report_ms[rows_failed] = due_ms
         rows = zip(
             instance.tolist(),
             server.tolist(),
@@ -250,7 +258,7 @@
     def tick(self, now_ms: float) -> None:
         self._report(now_ms)
         if now_ms >= self._next_decision_ms:
-            self._next_decision_ms += DECIDE_MS
+            self._next_decision_ms = now_ms + DECIDE_MS
             self._decide(now_ms)
         while self._pending and self._pending[0][0] <= now_ms:
             self._honour(now_ms, self._pending.pop(0)[1])
@@ -266,7 +274,11 @@
 
     def _report(self, now_ms: float) -> None:
         for row in np.nonzero(self._next_report_ms <= now_ms)[0].tolist():
-            self._next_report_ms[row] += REPORT_MS
+            self._last_report_ms[row] = now_ms
+            self._next_report_ms[row] = now_ms + REPORT_MS
+            if self._counts[row][:, [FAILED, UNREACHABLE]].any():
+                urgent_ms = now_ms + URGENT_MS
+                self._next_decision_ms = min(self._next_decision_ms, urgent_ms)
             domain = self._service.failure_domains[self._service.domain_of(row)]
             counts = self._counts[row]
             for column in np.nonzero(counts.any(axis=1))[0].tolist():
