Send bodies of changed records on a tree of links only

Cause: each node sent a changed record over all of its about 8 links, so each node received it about 7 times.

Change: a link that brings a record a second time carries only fingerprints, collected for 100 ms. A record that is named and does not arrive within another 100 ms is asked of the peers that named it, one after the other, and that link carries bodies again (Plumtree). An instance that stops sends its last record on all links. The store finds records by fingerprint.

--- a/packages/cardamomrun-bench/src/cardamomrun_bench/capacity.py
+++ b/packages/cardamomrun-bench/src/cardamomrun_bench/capacity.py
@@ -75,8 +75,19 @@
 
 
 def load_results(results: Path) -> list[dict[str, Any]]:
-    """Return the content of all result files."""
-    return [json.loads(path.read_text()) for path in sorted(results.glob("*.json"))]
+    """Return the content of all result files.
+
+    Files in a subfolder hold what an earlier version measured; the names of their parts
+    and series begin with the name of the subfolder.
+    """
+    loaded = [json.loads(path.read_text()) for path in sorted(results.glob("*.json"))]
+    for path in sorted(results.glob("*/*.json")):
+        value = json.loads(path.read_text())
+        value["part"] = f"{path.parent.name}/{value['part']}"
+        for series in value["series"]:
+            series["name"] = f"{path.parent.name}/{series['name']}"
+        loaded.append(value)
+    return loaded
 
 
 class Commands:
--- a/packages/cardamomrun-bench/src/cardamomrun_bench/capacity_tables.py
+++ b/packages/cardamomrun-bench/src/cardamomrun_bench/capacity_tables.py
@@ -5,7 +5,9 @@
 from dataclasses import dataclass
 from typing import Any
 
+from cardamomrun_bench.capacity_fleet import RECORD_BYTES
 from cardamomrun_bench.capacity_model import Estimate, Slopes, Target
+from cardamomrun_bench.capacity_world import filler_bytes
 
 __all__ = ["TABLES", "render_page"]
 
@@ -154,6 +156,26 @@
     return _table(head, rows)
 
 
+ALL_BODIES = "flooding-all-bodies"
+
+
+def flooding_table(slopes: Slopes, target: Target) -> str:
+    """Return the cost of a change with bodies on all links and on a tree of them."""
+    rows = []
+    for size in RECORD_BYTES:
+        for meter in ("sent", "cpu", "reach", "reach_max"):
+            name = f"flood.{size}.{meter}"
+            before = dict(slopes.series[f"{ALL_BODIES}/{name}"].points)
+            after = dict(slopes.series[name].points)
+            for count in sorted(before.keys() & after.keys()):
+                one, two = before[count], after[count]
+                cells = (str(filler_bytes(size)), slopes.series[name].y)
+                numbers = (f"{count:.0f}", _number(one), _number(two))
+                rows.append((*cells, *numbers, _number(two / one)))
+    head = ("record bytes", "unit", "nodes", "bodies on all links", "bodies on a tree", "ratio")  # fmt: skip
+    return _table(head, rows)
+
+
 def _environments(target: Target) -> float:
     return float(target.services * ENVIRONMENTS_A_SERVICE)
 
@@ -230,7 +252,7 @@
     "changes": ("configuration changes", "environment records (4.3)"),
     "roster": ("claims rosters, one in 10 minutes", "claims roster (4.5)"),
 }  # fmt: skip
-FLOOD_REMEDY = "fingerprints instead of bodies on redundant links, and one record for the leases of all services"
+FLOOD_REMEDY = "one record for the leases of all services, renewed each 2 s"
 REPORT_REMEDY = "reports keyed by 64-bit hashes and sent each second"
 DIVIDE_REMEDY = "services divided among control instances by leases in the log, and decisions only for services with new evidence"
 
@@ -452,7 +474,7 @@
         Row("control leader", "reports each second, by name", per_second.times(target.nodes), "ms/s", "4.4", 1_000.0),
         Row("control leader", "reports and decisions divided among 3 instances", leader.plus(rounds).times(1 / 3), "ms/s", "leases in the log; arithmetic, not run", 1_000.0),
         Row("all", "ejection leases of 5% of the services, one record each", leases.times(services), "B/s", "4.4 as today", target.bytes_per_s, FLOOD_REMEDY),
-        Row("all", "the same leases in one record", slopes.flood("sent", EJECTIONS_RECORD * services, target.nodes), "B/s", "one record for all services; arithmetic, not run", target.bytes_per_s, FLOOD_REMEDY),
+        Row("all", "the same leases in one record, each 2 s", slopes.flood("sent", EJECTIONS_RECORD * services, target.nodes).times(0.5), "B/s", "one record for all services, leases of 5 s; arithmetic, not run", target.bytes_per_s, FLOOD_REMEDY),
     ]  # fmt: skip
     return _rows(rows, slopes)
 
@@ -507,6 +529,9 @@
         Row("entry", "processor for control work", entry_cpu, "ms/s", "4.1, 4.2, 4.4", target.cpu_ms_per_s, f"{REPORT_REMEDY}; {FLOOD_REMEDY}"),
         Row("entry", "memory, the whole process at rest", memory, "bytes", "4.1, 4.3, 4.5", target.memory_bytes, "documents without their bytes on entry instances"),
         Row("control leader", "share of one core for reports and decisions", leader_cpu, "ms/s", "4.4", 1_000.0, f"{DIVIDE_REMEDY}; {REPORT_REMEDY}"),
+        Row("control leader", "bytes received in reports", _report_bytes(slopes, target).times(target.nodes), "B/s", "4.4", target.bytes_per_s, f"{REPORT_REMEDY}, and {DIVIDE_REMEDY}, reduce it but do not bring it under"),
+        Row("entry", "one document of 59 routes put in force, without pause", slopes.at("store.route.parse", target.routes_per_service), "ms", "4.3", target.added_ms, "the checked form in the record, which the publisher leaves empty"),
+        Row("entry", "start: parse 220 documents", slopes.at("store.route.parse", target.routes_per_service).times(_environments(target)), "ms", "4.3", target.in_force_ms, "the checked form in the record"),
         Row("control leader", "memory after a year of changes", leader_memory, "bytes", "4.3, 4.4", target.memory_bytes, "audit entries before the last snapshot kept on disk only"),
         Row("all", "a change in force on all; all share one core here", change, "ms", "4.1, 4.3", target.in_force_ms, "less work a document"),
         Row("entry", "added latency, 99th percentile", p99, "ms", "request path", target.added_ms, "fewer steps a request"),
@@ -519,6 +544,7 @@
     "commands": commands_table,
     "comparison": comparison_table,
     "days": days_table,
+    "flooding": flooding_table,
     "messages": messages_table,
     "processor": processor_table,
     "relief": relief_table,
--- a/packages/cardamomrun-fleet/src/cardamomrun_fleet/exchange.py
+++ b/packages/cardamomrun-fleet/src/cardamomrun_fleet/exchange.py
@@ -9,9 +9,13 @@
 from cardamomrun_fleet.store import HeldRecord, Store
 
 __all__ = [
+    "Announced",
     "Digests",
     "DigestsRequest",
     "Fingerprints",
+    "FloodedBatch",
+    "Prune",
+    "Pull",
     "RecordBatch",
     "SnapshotRequest",
     "Wanted",
@@ -34,6 +38,36 @@
     records: tuple[tuple[bytes, int], ...]
 
 
+@message("flooded")
+@dataclass(frozen=True)
+class FloodedBatch:
+    """Changed records, each with its age; the receiver passes on those that win."""
+
+    records: tuple[tuple[bytes, int], ...]
+
+
+@message("announced")
+@dataclass(frozen=True)
+class Announced:
+    """Fingerprints of changed records whose bodies are sent on demand."""
+
+    fingerprints: bytes
+
+
+@message("pull")
+@dataclass(frozen=True)
+class Pull:
+    """Asks for announced records, and for the bodies of later changes."""
+
+    fingerprints: bytes
+
+
+@message("prune")
+@dataclass(frozen=True)
+class Prune:
+    """Asks for fingerprints instead of bodies, since other links bring the bodies."""
+
+
 @message("snapshot-request")
 @dataclass(frozen=True)
 class SnapshotRequest:
@@ -92,13 +126,23 @@
         yield RecordBatch(tuple(batch))
 
 
-def merge_batch(store: Store, batch: RecordBatch, source: InstanceId) -> None:
-    """Merge a peer's records; unreadable ones are skipped and logged."""
+def merge_batch(
+    store: Store, batch: RecordBatch | FloodedBatch, source: InstanceId
+) -> list[tuple[HeldRecord, bool]]:
+    """Merge a peer's records; unreadable ones are skipped and logged.
+
+    Returns the records, each with whether it was held here before.
+    """
+    merged = []
     for data, age_ms in batch.records:
         try:
             record = decode(data)
             if isinstance(record, Record):
                 _ = record.content
-                store.merge(record, age_ms=age_ms, source=source)
+                held = store.hold(record, age_ms)
+                is_known = store.holding(held.packed_fingerprint) is not None
+                store.merge_held(held, source)
+                merged.append((held, is_known))
         except CodecError as error:
             log.warning(f"record skipped: {error}", peer_id=source)
+    return merged
--- a/packages/cardamomrun-fleet/src/cardamomrun_fleet/fleet.py
+++ b/packages/cardamomrun-fleet/src/cardamomrun_fleet/fleet.py
@@ -26,10 +26,15 @@
 from cardamomrun_base.model import InstanceId, MemberBody, MemberPhase
 from cardamomrun_base.settings import NodeSettings
 from cardamomrun_fleet.credentials import Credentials, Hello, load_fleet_key
+from cardamomrun_fleet.dissemination import ANNOUNCE_MS, Dissemination
 from cardamomrun_fleet.exchange import (
+    Announced,
     Digests,
     DigestsRequest,
     Fingerprints,
+    FloodedBatch,
+    Prune,
+    Pull,
     RecordBatch,
     SnapshotRequest,
     Wanted,
@@ -46,7 +51,12 @@
 )
 from cardamomrun_fleet.membership import Membership
 from cardamomrun_fleet.overlay import select_peers
-from cardamomrun_fleet.store import HeldRecord, Source, Store
+from cardamomrun_fleet.store import (
+    FINGERPRINT_BYTES,
+    HeldRecord,
+    Source,
+    Store,
+)
 
 __all__ = ["Fleet"]
 
@@ -106,6 +116,8 @@
         self._probed_ms = clock.now_ms()
         self._probed: MemberBody | None = None
         self._unflooded: list[tuple[HeldRecord, Source]] = []
+        self._dissemination = Dissemination()
+        self._is_announcing = False
         self._pulled: set[InstanceId] = set()
         self._synced_ms: float | None = None
         self._caught_up = False
@@ -165,6 +177,9 @@
             return
         self._stopping = True
         self.membership.set_phase(MemberPhase.GONE)
+        # No time is left for peers to ask for the body.
+        for peer_id in self._links:
+            self._dissemination.make_eager(peer_id)
         self._flood()
         links = [link for links in self._links.values() for link in links]
         await asyncio.gather(*(link.close() for link in links))
@@ -289,8 +304,17 @@
         return await self._handlers[type(message)](link.peer_id, message)
 
     def _take(self, link: Link, message: Any) -> None:
-        if isinstance(message, RecordBatch):
-            merge_batch(self._store, message, link.peer_id)
+        match message:
+            case FloodedBatch():
+                self._take_flooded(link, message)
+            case RecordBatch():
+                merge_batch(self._store, message, link.peer_id)
+            case Announced(fingerprints):
+                self._take_announced(link.peer_id, fingerprints)
+            case Pull(fingerprints):
+                self._answer_pull(link, fingerprints)
+            case Prune():
+                self._dissemination.make_lazy(link.peer_id)
 
     async def _stream(self, link: Link, held: list[HeldRecord]) -> None:
         for batch in batches(held, self._clock.now_ms()):
@@ -311,13 +335,69 @@
 
     def _flood(self) -> None:
         changes, self._unflooded = self._unflooded, []
-        now_ms = self._clock.now_ms()
         for peer_id in tuple(self._links):
             link = self._overlay_link(peer_id)
-            held = [one for one, source in changes if source != peer_id]
-            if link is not None and held:
-                for batch in batches(held, now_ms):
-                    link.send(batch)
+            if link is not None:
+                self._send_bodies(link, self._dissemination.split(peer_id, changes))
+        self._start_announcing()
+
+    def _send_bodies(self, link: Link, held: list[HeldRecord]) -> None:
+        for batch in batches(held, self._clock.now_ms()):
+            link.send(FloodedBatch(batch.records))
+
+    def _take_flooded(self, link: Link, batch: FloodedBatch) -> None:
+        merged = merge_batch(self._store, batch, link.peer_id)
+        for held, _ in merged:
+            self._dissemination.arrived(held.packed_fingerprint)
+            self._dissemination.peer_has(link.peer_id, held.packed_fingerprint)
+        if merged and all(is_known for _, is_known in merged):
+            self._dissemination.make_lazy(link.peer_id)
+            link.send(Prune())
+        else:
+            self._dissemination.make_eager(link.peer_id)
+
+    def _take_announced(self, peer_id: InstanceId, fingerprints: bytes) -> None:
+        now_ms = self._clock.now_ms()
+        for name in _split(fingerprints):
+            self._dissemination.peer_has(peer_id, name)
+            if self._store.holding(name) is None:
+                self._dissemination.lacks(peer_id, name, now_ms)
+        self._start_announcing()
+
+    def _answer_pull(self, link: Link, fingerprints: bytes) -> None:
+        self._dissemination.make_eager(link.peer_id)
+        found = (self._store.holding(name) for name in _split(fingerprints))
+        self._send_bodies(link, [held for held in found if held is not None])
+
+    def _start_announcing(self) -> None:
+        if self._dissemination.is_waiting and not self._is_announcing:
+            self._is_announcing = True
+            self._spawn(self._announce())
+
+    async def _announce(self) -> None:
+        """Send fingerprints and ask for missing records until none are left."""
+        try:
+            while self._dissemination.is_waiting and not self._stopping:
+                await self._clock.sleep_ms(ANNOUNCE_MS)
+                self._send_announcements()
+                self._send_pulls()
+        finally:
+            self._is_announcing = False
+
+    def _send_announcements(self) -> None:
+        for peer_id, names in self._dissemination.take_announcements().items():
+            link = self._overlay_link(peer_id)
+            if link is not None:
+                link.send(Announced(b"".join(sorted(names))))
+
+    def _send_pulls(self) -> None:
+        pulls = self._dissemination.take_pulls(self._clock.now_ms())
+        for peer_id, names in pulls.items():
+            link = self._overlay_link(peer_id)
+            missing = [name for name in names if self._store.holding(name) is None]
+            if link is not None and missing:
+                self._dissemination.make_eager(peer_id)
+                link.send(Pull(b"".join(sorted(missing))))
 
     async def _wait_for_snapshots(self) -> None:
         fleet = self._settings.fleet
@@ -426,6 +506,7 @@
         links.remove(link)
         if not links:
             del self._links[link.peer_id]
+            self._dissemination.forget(link.peer_id)
         if link.purpose is not Purpose.OVERLAY or self._stopping:
             return
         if not link.ended_on_purpose and self._overlay_link(link.peer_id) is None:
@@ -586,6 +667,11 @@
         task.add_done_callback(self._tasks.discard)
 
 
+def _split(fingerprints: bytes) -> list[bytes]:
+    starts = range(0, len(fingerprints), FINGERPRINT_BYTES)
+    return [fingerprints[start : start + FINGERPRINT_BYTES] for start in starts]
+
+
 def _is_not_gone(body: MemberBody) -> bool:
     return body.phase is not MemberPhase.GONE
 
--- a/packages/cardamomrun-fleet/src/cardamomrun_fleet/store.py
+++ b/packages/cardamomrun-fleet/src/cardamomrun_fleet/store.py
@@ -48,6 +48,11 @@
         """The form on the wire, made once for all links and exchanges."""
         return encode(self.record)
 
+    @property
+    def packed_fingerprint(self) -> bytes:
+        """The fingerprint as messages carry it, 8 bytes."""
+        return _packed(self.fingerprint)
+
     def age_ms(self, now_ms: float) -> int:
         """Return the time since the record was written, as far as it is known here."""
         return max(0, int(now_ms - self.arrived_ms))
@@ -86,6 +91,7 @@
         self._buckets: list[dict[tuple[Kind, str], HeldRecord]] = [
             {} for _ in range(BUCKET_COUNT)
         ]
+        self._by_fingerprint: dict[bytes, HeldRecord] = {}
         self._digests = [0] * BUCKET_COUNT
         self._tombstones: dict[tuple[Kind, str], _Tombstone] = {}
         self._expiries: list[tuple[float, int, Kind, str]] = []
@@ -133,8 +139,16 @@
         Peers report the age so that a record passed on does not start its lifetime
         anew at each instance.
         """
+        held = self.hold(record, age_ms)
+        return self.merge_held(held, source)
+
+    def hold(self, record: Record, age_ms: int = 0) -> HeldRecord:
+        """Return a record that was `age_ms` old when it arrived, not merged yet."""
+        return _held(record, self._clock.now_ms() - max(0, age_ms))
+
+    def merge_held(self, held: HeldRecord, source: Source = None) -> bool:
+        """Merge a record of `hold`; True if it won."""
         self._expire()
-        held = _held(record, self._clock.now_ms() - max(0, age_ms))
         if not self._wins(held):
             return False
         self._insert(held)
@@ -206,6 +220,11 @@
             if _packed(held.fingerprint) in wanted
         ]
 
+    def holding(self, fingerprint: bytes) -> HeldRecord | None:
+        """Return the live record with a fingerprint."""
+        self._expire()
+        return self._by_fingerprint.get(fingerprint)
+
     def everything(self) -> list[HeldRecord]:
         """Return all live records."""
         self._expire()
@@ -248,6 +267,7 @@
         bucket = _bucket(record.kind, record.key)
         self._held[record.kind][record.key] = held
         self._buckets[bucket][place] = held
+        self._by_fingerprint[held.packed_fingerprint] = held
         self._digests[bucket] ^= held.fingerprint
         self._record_count += 1
         if held.lifetime_ms is not None:
@@ -258,6 +278,7 @@
         bucket = _bucket(record.kind, record.key)
         del self._held[record.kind][record.key]
         del self._buckets[bucket][(record.kind, record.key)]
+        self._by_fingerprint.pop(held.packed_fingerprint, None)
         self._digests[bucket] ^= held.fingerprint
         self._record_count -= 1
 
--- /dev/null
+++ b/packages/cardamomrun-fleet/tests/test_dissemination.py
@@ -0,0 +1,107 @@
+"""Bodies of changes on a tree of links, fingerprints and pulls on the others."""
+
+import asyncio
+import time
+
+from cardamomrun_base.clock import ManualClock
+from cardamomrun_fleet.dissemination import PULL_AFTER_MS, Dissemination
+from cardamomrun_fleet.exchange import FloodedBatch
+from cardamomrun_fleet.store import Store
+
+from .builders import crash, running, until
+from .test_fleet import holds
+
+REACH_LIMIT_S = 1.0
+
+
+def held(key="k"):
+    store = Store(ManualClock())
+    store.put(crash(key))
+    return store.everything()[0]
+
+
+def test_lazy_links_get_names_that_the_peer_does_not_know():
+    """Guards against bodies on redundant links, and against names sent in vain."""
+    one, two = held("one"), held("two")
+    links = Dissemination()
+    links.make_lazy("lazy")
+    changes = [(one, None), (two, "eager")]
+    assert links.split("eager", changes) == [one]
+    assert links.split("lazy", changes) == []
+    links.peer_has("lazy", one.packed_fingerprint)
+    assert links.take_announcements() == {"lazy": {two.packed_fingerprint}}
+    assert not links.is_waiting
+    links.forget("lazy")
+    assert links.split("lazy", changes) == [one, two]
+
+
+def test_a_named_record_that_does_not_arrive_is_asked_of_each_peer_in_turn():
+    """Guards against pulls of records on their way, and of one peer only."""
+    links = Dissemination()
+    links.lacks("peer", b"arrives", 0)
+    links.lacks("peer", b"missing", 0)
+    links.lacks("other", b"missing", 0)
+    links.arrived(b"arrives")
+    assert links.take_pulls(PULL_AFTER_MS - 1) == {}
+    assert links.take_pulls(PULL_AFTER_MS) == {"peer": {b"missing"}}
+    assert links.take_pulls(PULL_AFTER_MS) == {}
+    assert links.take_pulls(2 * PULL_AFTER_MS) == {"other": {b"missing"}}
+    assert not links.is_waiting
+
+
+def test_bodies_cross_each_instance_about_once(tmp_path):
+    """Guards against a body on each link: 5 instances have 10 links, a tree has 4."""
+    count, change_count = 5, 20
+
+    async def check():
+        async with running(tmp_path, count) as fleets:
+            for number in range(10):
+                fleets[0].store.put(crash(f"first-{number}"))
+                await until_all(fleets, f"first-{number}")
+            received = count_bodies(fleets)
+            for number in range(change_count):
+                fleets[number % count].store.put(crash(f"k{number}"))
+                await until_all(fleets, f"k{number}")
+            assert sum(received) <= change_count * count
+
+    asyncio.run(check())
+
+
+def test_an_instance_with_only_lazy_links_gets_changes_soon(tmp_path):
+    """Guards against a broken tree that only anti-entropy would heal."""
+
+    async def check():
+        async with running(tmp_path, 4) as fleets:
+            for fleet in fleets:
+                # Without the exchange, only a pull can bring the record.
+                fleet._exchange = never
+                for peer in fleets:
+                    fleet._dissemination.make_lazy(peer.instance_id)
+            begun_s = time.monotonic()
+            fleets[0].store.put(crash("k"))
+            await until_all(fleets, "k")
+            assert time.monotonic() - begun_s < REACH_LIMIT_S
+
+    async def never(link):
+        pass
+
+    asyncio.run(check())
+
+
+async def until_all(fleets, key):
+    await until(lambda: all(holds(fleet, key) for fleet in fleets), f"{key} at all")
+
+
+def count_bodies(fleets):
+    """Return a list that grows by the number of records in each flooded batch."""
+    received = []
+    for fleet in fleets:
+        take = fleet._take_flooded
+
+        def counted(link, batch, take=take):
+            assert isinstance(batch, FloodedBatch)
+            received.append(len(batch.records))
+            take(link, batch)
+
+        fleet._take_flooded = counted
+    return received
