--- a/packages/cardamomrun-bench/src/cardamomrun_bench/capacity.py
+++ b/packages/cardamomrun-bench/src/cardamomrun_bench/capacity.py
@@ -21,7 +21,7 @@
 from cardamomrun_bench.capacity_claims import measure_claims
 from cardamomrun_bench.capacity_control import measure_control
 from cardamomrun_bench.capacity_fit import Series
-from cardamomrun_bench.capacity_fleet import measure_fleet, measure_processes
+from cardamomrun_bench.capacity_fleet import measure_light_nodes, measure_processes
 from cardamomrun_bench.capacity_reports import measure_reports
 from cardamomrun_bench.capacity_requests import measure_requests
 from cardamomrun_bench.capacity_store import measure_store
@@ -36,7 +36,7 @@
 PARALLEL_COUNT = 3
 
 PARTS: dict[str, Callable[[int], list[Series]]] = {
-    "fleet": measure_fleet,
+    "fleet": measure_light_nodes,
     "control": measure_control,
     "processes": measure_processes,
     "requests": measure_requests,
--- a/packages/cardamomrun-bench/src/cardamomrun_bench/capacity_fleet.py
+++ b/packages/cardamomrun-bench/src/cardamomrun_bench/capacity_fleet.py
@@ -27,7 +27,17 @@
 from cardamomrun_bench.capacity_world import filler_record, node_settings
 from cardamomrun_fleet import Fleet
 
-__all__ = ["measure_fleet", "measure_light_nodes", "measure_processes"]
+__all__ = [
+    "RECORD_BYTES",
+    "measure_light_nodes",
+    "measure_processes",
+    "run_light",
+    "settings_json",
+    "start_fleets",
+    "start_node",
+    "stop_fleets",
+    "wait_until_ready",
+]
 
 LIGHT_COUNTS = (10, 20, 40, 80, 120)
 PROCESS_COUNTS = (5, 10, 20, 40)
@@ -250,11 +260,6 @@
     )
 
 
-def measure_fleet(seed: int) -> Any:
-    """Return the series of fleets in one process."""
-    return measure_light_nodes(seed)
-
-
 # Real processes
 
 
@@ -283,11 +288,11 @@
     settings = _process_settings(folder, count)
     try:
         for path in settings:
-            processes.append(_start_node(path))
+            processes.append(start_node(path))
             if len(processes) < 4:
                 time.sleep(0.5)
         for process in processes:
-            _ready(process)
+            wait_until_ready(process)
         time.sleep(settle_s)
         before = [_ask(process) for process in processes]
         cpu_before = [process_cpu_ms(process.pid) for process in processes]
@@ -322,12 +327,13 @@
         settings = node_settings(folder, number, seeds)
         all_settings.append(settings)
         path = folder / f"{settings.instance_id}.json"
-        path.write_text(json.dumps(_settings_json(settings)))
+        path.write_text(json.dumps(settings_json(settings)))
         paths.append(path)
     return paths
 
 
-def _settings_json(settings: NodeSettings) -> dict[str, Any]:
+def settings_json(settings: NodeSettings) -> dict[str, Any]:
+    """Return the settings of an entry node as its file holds them."""
     return {
         "instance_id": settings.instance_id,
         "region": settings.region,
@@ -342,7 +348,8 @@
     }
 
 
-def _start_node(path: Path) -> "subprocess.Popen[str]":
+def start_node(path: Path) -> "subprocess.Popen[str]":
+    """Start a node that prints its counted bytes when asked."""
     return subprocess.Popen(
         [sys.executable, "-m", "cardamomrun_bench.capacity_node", str(path)],
         stdin=subprocess.PIPE,
@@ -353,7 +360,8 @@
     )
 
 
-def _ready(process: "subprocess.Popen[str]") -> None:
+def wait_until_ready(process: "subprocess.Popen[str]") -> None:
+    """Wait until the node serves; raises `RuntimeError` if it ends before."""
     assert process.stdout is not None
     if process.stdout.readline().strip() != "ready":
         raise RuntimeError(f"node {process.pid} did not start")
--- a/packages/cardamomrun-bench/src/cardamomrun_bench/capacity_requests.py
+++ b/packages/cardamomrun-bench/src/cardamomrun_bench/capacity_requests.py
@@ -21,7 +21,7 @@
 from cardamomrun_bench.backend_server import BackendServer, BackendServerSettings
 from cardamomrun_bench.caller import Caller
 from cardamomrun_bench.capacity_fit import Series
-from cardamomrun_bench.capacity_fleet import _ready, _settings_json, _start_node
+from cardamomrun_bench.capacity_fleet import settings_json, start_node, wait_until_ready
 from cardamomrun_bench.capacity_meters import (
     held_bytes,
     process_cpu_ms,
@@ -94,7 +94,7 @@
         (folder / "announcements.jsonc").write_text("{}")
         settings = node_settings(folder, 0)
         path = folder / "entry.json"
-        path.write_text(json.dumps(_settings_json(settings)))
+        path.write_text(json.dumps(settings_json(settings)))
         with _node(path) as process:
             entry = _Entry(folder, settings, process.pid, seed)
             return asyncio.run(
@@ -104,9 +104,9 @@
 
 @contextmanager
 def _node(path: Path) -> Iterator["subprocess.Popen[str]"]:
-    process = _start_node(path)
+    process = start_node(path)
     try:
-        _ready(process)
+        wait_until_ready(process)
         yield process
     finally:
         process.kill()
