Wait a random time before a pull, so that few links are grafted at once

Cause: with 120 nodes, most changes reached some nodes only by pulls. The nodes behind a missing link of the tree all asked at the same time, and the links that this added formed cycles whose pruning could part the tree again.

Ruled out: longer waits, which delay all pulls alike.

Change: a pull is due 25 to 225 ms after the fingerprint, drawn at random, and looked for each 25 ms; the first node behind a gap brings the record to the rest.

--- a/packages/cardamomrun-fleet/src/cardamomrun_fleet/dissemination.py
+++ b/packages/cardamomrun-fleet/src/cardamomrun_fleet/dissemination.py
@@ -6,20 +6,23 @@
 become a spanning tree of the overlay that repairs itself.
 """
 
+import random
 from collections.abc import Iterable
 from dataclasses import dataclass
 
 from cardamomrun_base.model import InstanceId
 from cardamomrun_fleet.store import HeldRecord, Source
 
-__all__ = ["ANNOUNCE_MS", "PULL_AFTER_MS", "Dissemination"]
+__all__ = ["ANNOUNCE_MS", "PULL_FIRST_MS", "PULL_LAST_MS", "Dissemination"]
 
 # Fingerprints wait this long, so that one message carries those of several changes and
 # a peer that names a record first is not told about it.
 ANNOUNCE_MS = 100
-# The body usually arrives on another link before this; a broken link of the tree costs
-# a record about both times together, far below the second that it may take.
-PULL_AFTER_MS = 100
+# The body usually arrives on another link before a pull. The time is random: when a link
+# of the tree is missing, the first instance behind it brings the record to the others,
+# and if all asked at once, their links would form cycles that are pruned again.
+PULL_FIRST_MS = 25
+PULL_LAST_MS = 225
 # Bounds what a peer can make this instance remember; anti-entropy brings the rest.
 MAX_MISSING_COUNT = 4_096
 
@@ -35,7 +38,8 @@
 class Dissemination:
     """Links of one instance by what they carry, and fingerprints under way."""
 
-    def __init__(self) -> None:
+    def __init__(self, randomness: random.Random) -> None:
+        self._random = randomness
         self._lazy: set[InstanceId] = set()
         self._to_announce: dict[InstanceId, set[bytes]] = {}
         self._missing: dict[bytes, _Missing] = {}
@@ -84,7 +88,8 @@
             if peer_id not in missing.peer_ids:
                 missing.peer_ids.append(peer_id)
         elif len(self._missing) < MAX_MISSING_COUNT:
-            self._missing[fingerprint] = _Missing(now_ms + PULL_AFTER_MS, [peer_id])
+            wait_ms = self._random.uniform(PULL_FIRST_MS, PULL_LAST_MS)
+            self._missing[fingerprint] = _Missing(now_ms + wait_ms, [peer_id])
 
     def arrived(self, fingerprint: bytes) -> None:
         """Note that a record arrived."""
@@ -100,7 +105,7 @@
             if missing.due_ms > now_ms:
                 continue
             pulls.setdefault(missing.peer_ids.pop(0), set()).add(name)
-            missing.due_ms = now_ms + PULL_AFTER_MS
+            missing.due_ms = now_ms + PULL_LAST_MS
             if not missing.peer_ids:
                 del self._missing[name]
         return pulls
--- a/packages/cardamomrun-fleet/src/cardamomrun_fleet/fleet.py
+++ b/packages/cardamomrun-fleet/src/cardamomrun_fleet/fleet.py
@@ -71,6 +71,7 @@
 BACK_OFF_FIRST_MS = 100
 BACK_OFF_MAX_MS = 5_000
 MAX_TICK_MS = 250
+PULL_TICK_MS = 25
 IDLE_REQUEST_LINK_MS = 60_000
 SETTLED_LINK_MS = 5_000
 # Members considered failed are tried now and then, so that the two sides of a long
@@ -116,7 +117,7 @@
         self._probed_ms = clock.now_ms()
         self._probed: MemberBody | None = None
         self._unflooded: list[tuple[HeldRecord, Source]] = []
-        self._dissemination = Dissemination()
+        self._dissemination = Dissemination(self._random)
         self._is_announcing = False
         self._pulled: set[InstanceId] = set()
         self._synced_ms: float | None = None
@@ -378,9 +379,10 @@
         """Send fingerprints and ask for missing records until none are left."""
         try:
             while self._dissemination.is_waiting and not self._stopping:
-                await self._clock.sleep_ms(ANNOUNCE_MS)
+                for _ in range(ANNOUNCE_MS // PULL_TICK_MS):
+                    await self._clock.sleep_ms(PULL_TICK_MS)
+                    self._send_pulls()
                 self._send_announcements()
-                self._send_pulls()
         finally:
             self._is_announcing = False
 
