Require the incarnation when a backend server leaves

Cause: DELETE read the incarnation only from the query and took it as optional, while the stand-in sends it in a JSON body. A late DELETE of an old run therefore removed the newer run. A query of more digits than an int conversion accepts also ended in an internal error. Ruled out: refusing a body next to the query; the page said that it is ignored, so present callers of the query keep working. Change: the handler takes the body {"incarnation": 1} or the query, with the range of announcements, and answers 400 without either. Registry.leave no longer accepts None; its test passes the incarnation that it announced. The new test of the stand-in passed before too: it holds the body that the stand-in already sent. Conclusion: an old run cannot remove its successor.

--- a/packages/cardamomrun-backends/src/cardamomrun_backends/announcements.py
+++ b/packages/cardamomrun-backends/src/cardamomrun_backends/announcements.py
@@ -3,15 +3,15 @@
 import hmac
 import json
 import re
-from dataclasses import asdict
+from dataclasses import asdict, dataclass
 from pathlib import Path
 from typing import Any
 
 from prometheus_client import Counter
-from pydantic import TypeAdapter, ValidationError
+from pydantic import ConfigDict, TypeAdapter, ValidationError
 from tornado.web import RequestHandler, URLSpec
 
-from cardamomrun_backends.registry import Announcement, Registry
+from cardamomrun_backends.registry import Announcement, Incarnation, Registry
 from cardamomrun_base.errors import (
     CardamomrunError,
     ConflictError,
@@ -40,7 +40,19 @@
     ["status"],
 )
 
+
+@dataclass(frozen=True)
+class _Departure:
+    """The body with which a server leaves."""
+
+    __pydantic_config__ = ConfigDict(extra="forbid")
+
+    incarnation: Incarnation
+
+
 _announcement_adapter = TypeAdapter(Announcement)
+_departure_adapter = TypeAdapter(_Departure)
+_incarnation_adapter = TypeAdapter(Incarnation)
 _tokens_adapter = TypeAdapter(dict[str, list[str]])
 _log = PartLog("registry")
 
@@ -187,7 +199,8 @@
     def delete(self, service: str, stage: str, server_id: str) -> None:
         environment = self.authorized_environment(service, stage)
         _check_name(server_id)
-        incarnation = _incarnation(self.get_query_argument("incarnation", None))
+        query = self.get_query_argument("incarnation", None)
+        incarnation = _departing_incarnation(query, self.request.body)
         self.registry.leave(environment, server_id, incarnation)
         self.answer(200, {})
 
@@ -216,15 +229,21 @@
         )
 
 
-def _incarnation(text: str | None) -> int | None:
-    if text is None:
-        return None
-    if not (text.isascii() and text.isdigit()):
+def _departing_incarnation(query: str | None, body: bytes) -> int:
+    """Return the incarnation that leaves: the query's if it has one, else the body's.
+
+    One is required, since a run that does not name itself could remove its successor.
+    """
+    try:
+        if query is not None:
+            return _incarnation_adapter.validate_python(query)
+        return _departure_adapter.validate_json(body).incarnation
+    except ValidationError as error:
         raise BadRequestError(
-            "The query parameter incarnation is not a number.",
-            remedy="give the incarnation of the last announcement, or leave it out",
-        )
-    return int(text)
+            "The incarnation that leaves is missing or is not a number.",
+            remedy="give the incarnation of the last announcement, as the body "
+            '{"incarnation": 1} or as the query incarnation=1',
+        ) from error
 
 
 def _parse_announcement(body: bytes) -> Announcement:
--- a/packages/cardamomrun-backends/src/cardamomrun_backends/registry.py
+++ b/packages/cardamomrun-backends/src/cardamomrun_backends/registry.py
@@ -27,7 +27,7 @@
 )
 from cardamomrun_base.settings import NodeSettings
 
-__all__ = ["Announcement", "AnnouncementLease", "Registry"]
+__all__ = ["Announcement", "AnnouncementLease", "Incarnation", "Registry"]
 
 # Share of the lifetime after which a renewal is due: 1 s of 2,500 ms (section 4.9).
 RENEW_RATIO = 0.4
@@ -48,13 +48,16 @@
     return address
 
 
+Incarnation = Annotated[int, Field(ge=0, lt=2**63)]
+
+
 @dataclass(frozen=True)
 class Announcement:
     """What a backend server says about itself; `address` is `ip:port`."""
 
     __pydantic_config__ = ConfigDict(extra="forbid")
 
-    incarnation: Annotated[int, Field(ge=0, lt=2**63)]
+    incarnation: Incarnation
     address: Annotated[str, AfterValidator(_check_address)]
     failure_domain: Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
     slots: Annotated[int, Field(ge=1, le=100_000)]
@@ -111,18 +114,18 @@
         return self._lease()
 
     def leave(
-        self, environment: EnvironmentId, server_id: ServerId, incarnation: int | None
+        self, environment: EnvironmentId, server_id: ServerId, incarnation: int
     ) -> None:
         """Publish that a server left; does nothing if it is unknown or gone.
 
-        Raises `ConflictError` if `incarnation` is given and a newer one is known.
+        Raises `ConflictError` if an incarnation newer than `incarnation` is known.
         """
         key = backend_key(environment, server_id)
         held = self._store.get(Kind.BACKEND, key)
         if held is None:
             return
         body: BackendBody = held.content
-        if incarnation is not None and incarnation < body.incarnation:
+        if incarnation < body.incarnation:
             raise _older_incarnation(key, incarnation, body.incarnation)
         if body.phase is BackendPhase.GONE and body.slots == LEFT_SLOTS:
             return
--- a/packages/cardamomrun-backends/tests/test_announcements.py
+++ b/packages/cardamomrun-backends/tests/test_announcements.py
@@ -50,6 +50,21 @@
     (f"{PATH}/b1", "secret-1", {**GOOD, "extra": "x" * 20_000}, 400, "bad-request"),
     (f"{PATH}/b1", "secret-1", {**GOOD, "incarnation": 1}, 409, "conflict"),
 ]
+REFUSED_DEPARTURES = [
+    # (query, body, status)
+    ("", {"incarnation": 1}, 409),
+    ("?incarnation=1", None, 409),
+    ("?incarnation=1", {"incarnation": 2}, 409),
+    ("", None, 400),
+    ("", {}, 400),
+    ("", [], 400),
+    ("", {"incarnation": "x"}, 400),
+    ("", {"incarnation": -1}, 400),
+    ("", {"incarnation": 2, "phase": "gone"}, 400),
+    ("?incarnation=", None, 400),
+    ("?incarnation=x", None, 400),
+    ("?incarnation=" + "9" * 5_000, None, 400),
+]
 
 
 class AnnouncementsTest(AsyncHTTPTestCase):
@@ -71,7 +86,13 @@
     def call(self, method, path, token="secret-1", body=None):
         headers = {} if token is None else {"Authorization": f"Bearer {token}"}
         data = None if body is None else json.dumps(body)
-        answer = self.fetch(path, method=method, headers=headers, body=data)
+        answer = self.fetch(
+            path,
+            method=method,
+            headers=headers,
+            body=data,
+            allow_nonstandard_methods=True,
+        )
         return answer.code, json.loads(answer.body)
 
     def test_server_announces_drains_and_leaves(self):
@@ -88,6 +109,19 @@
         assert self.call("DELETE", f"{PATH}/b1?incarnation=2")[0] == 200
         assert self.call("GET", PATH)[1]["draining"] == []
 
+    def test_leaving_names_its_run(self):
+        # Guards against an earlier run, ending late, that removes its successor.
+        publish(self.instance.store, server("b1", BackendPhase.SERVING, incarnation=2))
+        before = self.instance.view()
+        for query, body, status in REFUSED_DEPARTURES:
+            path = f"{PATH}/b1{query}"
+            code, content = self.call("DELETE", path, body=body)
+            assert (code, bool(content["remedy"])) == (status, True), (query, body)
+            assert self.instance.view() == before, (query, body)
+        assert self.call("DELETE", f"{PATH}/b1", body={"incarnation": 2}) == (200, {})
+        assert self.call("GET", PATH)[1]["healthy"] == []
+        assert self.call("DELETE", f"{PATH}/b9", body={"incarnation": 2}) == (200, {})
+
     def test_refusals_are_typed_and_counted(self):
         # Guards against unauthorized servers, and refusals that name no remedy.
         publish(self.instance.store, server("b1", BackendPhase.SERVING, incarnation=2))
--- a/packages/cardamomrun-backends/tests/test_registry.py
+++ b/packages/cardamomrun-backends/tests/test_registry.py
@@ -120,7 +120,7 @@
     node = Node()
     known = KnownServers(node.clock, node.fleet)
     node.announce()
-    node.registry.leave(ENVIRONMENT, "b1", None)
+    node.registry.leave(ENVIRONMENT, "b1", 1)
     assert node.body().phase is BackendPhase.GONE
     assert known.of(ENVIRONMENT).announced_count == 0
 
--- a/packages/cardamomrun-bench/tests/test_backend_server.py
+++ b/packages/cardamomrun-bench/tests/test_backend_server.py
@@ -7,6 +7,7 @@
 from dataclasses import replace
 
 import pytest
+from tornado.web import Application, RequestHandler
 
 from cardamomrun_base.clock import SystemClock
 from cardamomrun_bench.backend_server import BackendServer, BackendServerSettings
@@ -49,6 +50,33 @@
         await server.stop()
 
 
+def test_leaving_names_the_run_that_was_announced():
+    """Guards against a stand-in whose old run removes its successor."""
+    calls = []
+
+    class Admin(RequestHandler):
+        def _record(self):
+            calls.append((self.request.method, json.loads(self.request.body)))
+            self.write({"renew_ms": 60_000})
+
+        put = delete = _record
+
+    async def scenario():
+        address = f"127.0.0.1:{_free_port()}"
+        admin = Application([(r"/v1/.*/servers/b1", Admin)])
+        listener = admin.listen(int(address.split(":")[1]), "127.0.0.1")
+        server = BackendServer(_settings(announce_to=(address,)), SystemClock())
+        server.start()
+        await server.stop()
+        listener.stop()
+
+    asyncio.run(scenario())
+    announced = {body["incarnation"] for method, body in calls if method == "PUT"}
+    method, departure = calls[-1]
+    assert method == "DELETE"
+    assert announced == {departure["incarnation"]}
+
+
 STATUSES = [
     (FaultMode.NONE, 200),
     (FaultMode.FAIL, 500),
