Answer not-run while the fleet knows no address

Cause: the front door marked each answer of the directory as done, also a 503, so a caller that trusts the outcome did not ask again. Change: a status of 500 and above has the outcome not-run and Retry-After. Conclusion: outcome and status of the directory agree.

--- a/packages/cardamomrun-requests/src/cardamomrun_requests/front_door.py
+++ b/packages/cardamomrun-requests/src/cardamomrun_requests/front_door.py
@@ -34,7 +34,7 @@
 from cardamomrun_requests.framing import body_length
 from cardamomrun_requests.reply import Reply
 from cardamomrun_requests.request import CallerRequest, RequestBody, request_id_of
-from cardamomrun_requests.request_path import RequestPath
+from cardamomrun_requests.request_path import RETRY_AFTER_S, RequestPath
 from cardamomrun_requests.routing import Router
 from cardamomrun_requests.upstream import UNBOUNDED_BYTES
 
@@ -50,6 +50,7 @@
 SWEEP_MS = 1_000
 # For callers that read the end of their answer slowly during a stop.
 FLUSH_S = 5.0
+STATUS_SERVER_ERROR = 500
 
 _log = PartLog("front")
 
@@ -142,9 +143,7 @@
     async def _answer_reserved(self, request: CallerRequest, reply: Reply) -> None:
         try:
             if request.path == names.ADDRESSES_PATH and request.method == "GET":
-                query = dict(parse_qsl(request.query))
-                status, body = self._directory.answer(query)
-                await reply.send(Done(status), status, body)
+                await self._answer_addresses(request, reply)
             else:
                 outcome = NotRun(
                     "No such path.", "docs/interfaces.md lists the paths", 404
@@ -156,6 +155,15 @@
         finally:
             request.body.discard()
 
+    async def _answer_addresses(self, request: CallerRequest, reply: Reply) -> None:
+        status, body = self._directory.answer(dict(parse_qsl(request.query)))
+        if status < STATUS_SERVER_ERROR:
+            await reply.send(Done(status), status, body)
+            return
+        outcome = NotRun("No address is known.", "retry later", status)
+        headers = {names.RETRY_AFTER: str(RETRY_AFTER_S)}
+        await reply.send(outcome, status, body, headers)
+
     async def _sweep(self) -> None:
         while True:
             await self._clock.sleep_ms(SWEEP_MS)
--- a/packages/cardamomrun-requests/tests/builders.py
+++ b/packages/cardamomrun-requests/tests/builders.py
@@ -139,8 +139,11 @@
 
 
 class FakeDirectory:
+    def __init__(self) -> None:
+        self.status = 200
+
     def answer(self, query):
-        return 200, json.dumps(query).encode()
+        return self.status, json.dumps(query).encode()
 
 
 @dataclass
@@ -295,6 +298,7 @@
         self.backends = FakeBackends(servers)
         self.claims = FakeClaims()
         self.quarantine = FakeQuarantine()
+        self.directory = FakeDirectory()
         self.front = FrontDoor(
             self.settings,
             self.clock,
@@ -302,7 +306,7 @@
             self.backends,
             self.claims,
             self.quarantine,
-            FakeDirectory(),
+            self.directory,
         )
 
     async def connect(self):
--- a/packages/cardamomrun-requests/tests/test_load.py
+++ b/packages/cardamomrun-requests/tests/test_load.py
@@ -209,6 +209,19 @@
     asyncio.run(main())
 
 
+def test_directory_without_addresses():
+    """Guards against callers that take an answer without addresses for a result."""
+
+    async def main():
+        async with front_door() as fixture:
+            fixture.directory.status = 503
+            received = await fixture.call(path="/.cardamomrun/addresses")
+            assert (received.status, received.outcome) == (503, "not-run")
+            assert received.headers["retry-after"] == "1"
+
+    asyncio.run(main())
+
+
 def test_directory_and_address_in_use():
     """Guards against a directory behind routes, and a second start unnoticed."""
 
