Give the measurement of claims a current leader record

Cause: a keeper abstains unless a leader record confirms its roster lease, and the store of the measurement held the roster only, so the first assertion failed. Ruled out: a longer lease in its settings; without a record there is no lease at all. Change: the store also holds a leader record confirmed at the start.

--- a/packages/cardamomrun-bench/src/cardamomrun_bench/claim_cost.py
+++ b/packages/cardamomrun-bench/src/cardamomrun_bench/claim_cost.py
@@ -20,6 +20,7 @@
 from cardamomrun_base.model import (
     InstanceId,
     Kind,
+    LeaderBody,
     MemberBody,
     Record,
     RosterBody,
@@ -27,7 +28,7 @@
 )
 from cardamomrun_base.settings import FleetSettings, NodeSettings, Role
 from cardamomrun_requests.claims import QuorumClaims
-from cardamomrun_requests.keeper import ROSTER_KEY, Keeper
+from cardamomrun_requests.keeper import LEADER_KEY, ROSTER_KEY, Keeper
 
 __all__ = ["main"]
 
@@ -41,16 +42,19 @@
 
 
 class _Store:
-    """Holds the roster only."""
+    """Holds the roster and a leader that has just confirmed it.
+
+    Keepers abstain without a leader, since they then hold no roster lease.
+    """
 
     def __init__(self, roster: Record) -> None:
-        self._roster = roster
+        self._records = {Kind.ROSTER: roster, Kind.LEADER: _leader()}
 
     def get(self, kind: Kind, key: str) -> Record | None:
-        return self._roster if kind is Kind.ROSTER else None
+        return self._records.get(kind)
 
     def all(self, kind: Kind) -> list[Record]:
-        return [self._roster] if kind is Kind.ROSTER else []
+        return [self._records[kind]] if kind in self._records else []
 
     def put(self, record: Record) -> bool:
         return False
@@ -117,6 +121,12 @@
     return Record.of(Kind.ROSTER, ROSTER_KEY, "control", (1, 0), body)
 
 
+def _leader() -> Record:
+    wall_ms = SystemClock().wall_ms()
+    body = LeaderBody("c0", 1, "", "", confirmed_wall_ms=wall_ms, roster_epoch=1)
+    return Record.of(Kind.LEADER, LEADER_KEY, "c0", (1, 0), body)
+
+
 def _request(number: int) -> ClaimRequest:
     # New strings for every claim, as they are after decoding a message.
     return ClaimRequest(
