--- a/tests/test_interfaces.py
+++ b/tests/test_interfaces.py
@@ -144,6 +144,18 @@
         assert shown == ("required" if default is MISSING else str(default)), key
 
 
+def test_errors_of_the_front_are_on_the_page():
+    """Guards against errors that a caller cannot look up."""
+    kinds = set()
+    for path in ROOT.glob("packages/cardamomrun-requests/src/**/*.py"):
+        kinds |= set(re.findall(r"\.error\(\s*\"([a-z-]+)\"", path.read_text()))
+    assert "quarantined" in kinds
+    section = PAGE.split("## 4. Callers")[1].split("## 5. Operators")[0]
+    rows = [line.split("|") for line in section.splitlines() if line.startswith("|")]
+    documented = {kind for row in rows for kind in re.findall(r"`([^`]+)`", row[2])}
+    assert kinds <= documented
+
+
 def _run_command(*words: str) -> subprocess.CompletedProcess[str]:
     command = [sys.executable, "-m", "cardamomrun_operators.main", *words]
     return subprocess.run(
