--- a/packages/cardamomrun-requests/src/cardamomrun_requests/keeper.py
+++ b/packages/cardamomrun-requests/src/cardamomrun_requests/keeper.py
@@ -50,7 +50,7 @@
 RELEASED = "released"
 
 _ABSTENTION = ClaimAnswer(ABSTAINS)
-_log = PartLog("front")
+_log = PartLog("claims")
 
 
 @dataclass(slots=True)
--- a/tests/test_interfaces.py
+++ b/tests/test_interfaces.py
@@ -156,6 +156,21 @@
     assert kinds <= documented
 
 
+def test_parts_of_the_logs():
+    """Guards against log lines of a part that the pages do not list."""
+    parts = set()
+    for path in ROOT.glob("packages/*/src/**/*.py"):
+        parts |= set(re.findall(r'PartLog\("([a-z]+)"\)', path.read_text()))
+    section = PAGE.split("## 7. Logs")[1].split("## 8. Metrics")[0]
+    rows = [line.split("|") for line in section.splitlines() if line.startswith("| `")]
+    documented = {part for row in rows for part in re.findall(r"`([a-z]+)`", row[1])}
+    design = (ROOT / "docs" / "design.md").read_text()
+    rule = design.split("fixed prefix per part (")[1].split(")")[0]
+    assert parts == documented
+    assert parts == set(re.findall(r"`([a-z]+):`", rule))
+    assert "claims" in parts
+
+
 def _run_command(*words: str) -> subprocess.CompletedProcess[str]:
     command = [sys.executable, "-m", "cardamomrun_operators.main", *words]
     return subprocess.run(
