Split the durable log by file, format and disk

Cause: storage.py had 572 lines and five jobs: the format of records, the operations of the disk, files replaced as a whole, segments, and the log. Ruled out: splitting links.py of the fleet, which others change now. The test that blocks the removal of files now replaces Segments.drop of its log, and the constant of the segment size is found in its new module. Conclusion: no change of behaviour or of the files on disk is intended.

--- a/packages/cardamomrun-control/tests/test_rules.py
+++ b/packages/cardamomrun-control/tests/test_rules.py
@@ -5,9 +5,10 @@
 
 import pytest
 
+from cardamomrun_base.codec import encode
 from cardamomrun_control.messages import AppendRequest, Envelope, VoteRequest
 from cardamomrun_control.replica import Noop
-from cardamomrun_control.storage import Entry, Vote, encode
+from cardamomrun_control.storage import Entry, Vote
 
 from .builders import Cluster, Network, virtual_time
 from .test_state import apply
--- a/packages/cardamomrun-control/tests/test_storage.py
+++ b/packages/cardamomrun-control/tests/test_storage.py
@@ -167,7 +167,7 @@
 
 def test_truncation_and_compaction_survive_restart(tmp_path, monkeypatch):
     """Guards against removed entries that come back, across several segments."""
-    monkeypatch.setattr("cardamomrun_control.storage.SEGMENT_BYTES", 100)
+    monkeypatch.setattr("cardamomrun_control.segments.SEGMENT_BYTES", 100)
     log = opened(tmp_path)
     for i in range(1, 21):
         run(log.append(entries(i, i)))
@@ -178,7 +178,7 @@
     log = opened(tmp_path)
     assert [log.term_at(i) for i in (9, 10, 14, 15, 16, 17)] == [None, 1, 1, 2, 2, None]
     # A crash after a received snapshot, before the files that it replaces are removed.
-    monkeypatch.setattr(log, "_drop_segments", lambda keeps_tail: None)
+    monkeypatch.setattr(log._segments, "drop", lambda index, keeps_tail: None)
     run(log.save_snapshot(Snapshot(15, 3, b"", b"received")))
     log.close()
     log = opened(tmp_path)
