Move the reading of checked JSON out of the documents module

Cause: documents.py held the document and the reading that settings use too; the handling of broken JSON, the pattern of names and the strict mode of pydantic existed twice. Ruled out: the same for the settings of the command line as a whole, whose message for broken JSON has no line and would change. Change: checked_json parses and checks; documents, settings and the command line use it. Codec: a type alias moves to the top of its module. Conclusion: no change of behaviour is intended.

--- a/packages/cardamomrun-base/src/cardamomrun_base/codec.py
+++ b/packages/cardamomrun-base/src/cardamomrun_base/codec.py
@@ -12,6 +12,8 @@
 
 __all__ = ["CodecError", "decode", "encode", "message"]
 
+Converter = Callable[[Any], Any]
+
 _types_by_name: dict[str, type] = {}
 _names_by_type: dict[type, str] = {}
 
@@ -54,9 +56,6 @@
     return tuple(field.name for field in fields(cls))
 
 
-Converter = Callable[[Any], Any]
-
-
 @cache
 def _converters(cls: Any) -> dict[str, Converter]:
     """Return how to unpack those fields of a data class that hold data classes."""
--- a/packages/cardamomrun-base/src/cardamomrun_base/documents.py
+++ b/packages/cardamomrun-base/src/cardamomrun_base/documents.py
@@ -4,13 +4,20 @@
 from dataclasses import dataclass
 from enum import StrEnum
 from pathlib import Path
-from typing import Annotated, Any
+from typing import Annotated
 
-from pydantic import ConfigDict, Field, TypeAdapter, ValidationError
+from pydantic import Field, TypeAdapter
 
+from cardamomrun_base.checked_json import (
+    STRICT,
+    Name,
+    check_fields,
+    parse_named,
+    place_of,
+)
 from cardamomrun_base.codec import message
-from cardamomrun_base.errors import CardamomrunError, DocumentError
-from cardamomrun_base.jsonc import JsonWithComments, JsonWithCommentsError, parse
+from cardamomrun_base.errors import DocumentError
+from cardamomrun_base.jsonc import JsonWithComments
 
 __all__ = [
     "EnvironmentDocument",
@@ -21,14 +28,11 @@
     "Profile",
     "Retries",
     "Route",
-    "check_fields",
     "document_digest",
     "load_document",
+    "read_document",
 ]
 
-STRICT = ConfigDict(extra="forbid", strict=False)
-
-Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
 Ratio = Annotated[float, Field(ge=0.0, le=1.0)]
 TimeoutMs = Annotated[int, Field(ge=10, le=600_000)]
 
@@ -139,57 +143,32 @@
     `name` is the file that error messages name. Raises `DocumentError` with the line
     and key of the first fault.
     """
-    parsed = _parse(data, name)
+    parsed = parse_named(_decode(data, name), name, DocumentError)
     document = check_fields(_document_adapter, parsed, name, DocumentError)
     _check_routes(document, parsed, name)
     return document
 
 
-def _parse(data: bytes, name: str) -> JsonWithComments:
+def read_document(path: Path) -> bytes:
+    """Return the bytes of a document file, or raise `DocumentError`."""
     try:
-        return parse(data.decode("utf-8"))
-    except UnicodeDecodeError as error:
-        raise DocumentError(
-            f"{name}: the file is not UTF-8.", remedy="save it as UTF-8"
-        ) from error
-    except JsonWithCommentsError as error:
+        return path.read_bytes()
+    except OSError as error:
         raise DocumentError(
-            f"{_place(name, error.line)}: {error}.",
-            remedy="correct the JSON at this place",
+            f"{path}: cannot be read ({error.strerror}).",
+            remedy="check the path and its permissions",
         ) from error
 
 
-def check_fields(
-    adapter: TypeAdapter,
-    parsed: JsonWithComments,
-    name: str,
-    error_type: type[CardamomrunError],
-) -> Any:
-    """Return the typed form of a parsed text, or raise `error_type` with line and key."""
+def _decode(data: bytes, name: str) -> str:
     try:
-        return adapter.validate_python(parsed.value)
-    except ValidationError as error:
-        fault = error.errors(include_url=False)[0]
-        path = tuple(fault["loc"])
-        key = ".".join(str(part) for part in path) or "(whole file)"
-        place = _place(name, parsed.line_of(path))
-        raise error_type(
-            f"{place}: key {key}: {fault['msg']}.", remedy=_remedy(fault)
+        return data.decode("utf-8")
+    except UnicodeDecodeError as error:
+        raise DocumentError(
+            f"{name}: the file is not UTF-8.", remedy="save it as UTF-8"
         ) from error
 
 
-def _remedy(fault: Any) -> str:
-    if fault["type"] in ("unexpected_keyword_argument", "extra_forbidden"):
-        return "remove the key or correct its spelling; docs/interfaces.md lists all"
-    if fault["type"] in ("missing", "missing_argument"):
-        return "add the key; docs/interfaces.md gives its meaning"
-    return "give a value of the type and range in docs/interfaces.md"
-
-
-def _place(name: str, line: int | None) -> str:
-    return name if line is None else f"{name}, line {line}"
-
-
 def _check_routes(
     document: EnvironmentDocument, parsed: JsonWithComments, name: str
 ) -> None:
@@ -200,18 +179,7 @@
             if earlier != index:
                 line = parsed.line_of(("routes", index))
                 raise DocumentError(
-                    f"{_place(name, line)}: key routes.{index}: prefix "
+                    f"{place_of(name, line)}: key routes.{index}: prefix "
                     f"{route.prefix} and method {method} are in routes.{earlier} too.",
                     remedy="remove one of the two routes",
                 )
-
-
-def read_document(path: Path) -> bytes:
-    """Return the bytes of a document file, or raise `DocumentError`."""
-    try:
-        return path.read_bytes()
-    except OSError as error:
-        raise DocumentError(
-            f"{path}: cannot be read ({error.strerror}).",
-            remedy="check the path and its permissions",
-        ) from error
--- a/packages/cardamomrun-base/src/cardamomrun_base/settings.py
+++ b/packages/cardamomrun-base/src/cardamomrun_base/settings.py
@@ -5,11 +5,10 @@
 from pathlib import Path
 from typing import Annotated, Any
 
-from pydantic import ConfigDict, Field, IPvAnyAddress, TypeAdapter
+from pydantic import Field, IPvAnyAddress, TypeAdapter
 
-from cardamomrun_base.documents import check_fields
+from cardamomrun_base.checked_json import STRICT, Name, check_fields, parse_named
 from cardamomrun_base.errors import SettingsError
-from cardamomrun_base.jsonc import JsonWithCommentsError, parse
 
 __all__ = [
     "ControlSettings",
@@ -21,9 +20,6 @@
     "load_settings",
 ]
 
-STRICT = ConfigDict(extra="forbid")
-
-Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
 Port = Annotated[int, Field(ge=1, le=65_535)]
 PeerAddress = Annotated[str, Field(pattern=r"^[0-9a-fA-F.:\[\]]+:[0-9]{1,5}$")]
 
@@ -146,14 +142,7 @@
 
     Raises `SettingsError` that names file, line, key and remedy.
     """
-    text = _read_text(path)
-    try:
-        parsed = parse(text)
-    except JsonWithCommentsError as error:
-        place = f"{path}" if error.line is None else f"{path}, line {error.line}"
-        raise SettingsError(
-            f"{place}: {error}.", remedy="correct the JSON at this place"
-        ) from error
+    parsed = parse_named(_read_text(path), str(path), SettingsError)
     settings = check_fields(_settings_adapter, parsed, str(path), SettingsError)
     _check_roles(settings, path)
     return _with_absolute_paths(settings, path.resolve().parent)
--- a/packages/cardamomrun-operators/src/cardamomrun_operators/settings.py
+++ b/packages/cardamomrun-operators/src/cardamomrun_operators/settings.py
@@ -4,9 +4,9 @@
 from pathlib import Path
 from typing import Annotated
 
-from pydantic import ConfigDict, Field, TypeAdapter
+from pydantic import Field, TypeAdapter
 
-from cardamomrun_base.documents import check_fields
+from cardamomrun_base.checked_json import STRICT, check_fields
 from cardamomrun_base.errors import CredentialError, SettingsError
 from cardamomrun_base.jsonc import JsonWithCommentsError, parse
 
@@ -19,7 +19,7 @@
 class OperatorSettings:
     """Admin addresses (`host:port`) of control instances, and the token's file."""
 
-    __pydantic_config__ = ConfigDict(extra="forbid")
+    __pydantic_config__ = STRICT
 
     control: Annotated[tuple[str, ...], Field(min_length=1)]
     token_file: Path
