Name the steps of the stand-in backend server

Cause: hit, work and left did not say what they do, and limits and statuses were bare numbers. Ruled out: splitting its handlers off; they share its state. Change: next_fault, hold_slot, caller_left and named constants. The incarnation comes from the clock that the server is given.

--- a/packages/cardamomrun-bench/src/cardamomrun_bench/backend_server.py
+++ b/packages/cardamomrun-bench/src/cardamomrun_bench/backend_server.py
@@ -10,7 +10,6 @@
 import os
 import random
 import signal
-import time
 from collections import Counter
 from dataclasses import dataclass
 from pathlib import Path
@@ -33,6 +32,14 @@
 
 CRASH_EXIT_CODE = 70
 EXECUTION_HEADER = "Execution-Id"
+# Until an instance has answered with its interval.
+DEFAULT_RENEW_MS = 500
+CALL_TIMEOUT_MS = 800
+MAX_BODY_BYTES = 10_000_000_000
+
+STATUS_OK = 200
+STATUS_FAILED = 500
+STATUS_UNAVAILABLE = 503
 
 
 @dataclass(frozen=True)
@@ -86,10 +93,10 @@
         self.random = random.Random(settings.seed)
         self._clock = clock
         self._started_ms = clock.now_ms()
-        self._incarnation = time.time_ns() // 1_000_000
+        self._incarnation = clock.wall_ms()
         self._slots = asyncio.Semaphore(settings.slots)
         self._phase = "serving"
-        self._server = HTTPServer(self._application(), max_body_size=10_000_000_000)
+        self._server = HTTPServer(self._application(), max_body_size=MAX_BODY_BYTES)
         self._announcing: asyncio.Task[None] | None = None
         self.idle = asyncio.Event()
         self.idle.set()
@@ -119,7 +126,7 @@
         await self.idle.wait()
         if self._announcing is not None:
             self._announcing.cancel()
-        await self._call_any("DELETE", {"incarnation": self._incarnation})
+        await self._call_registrar("DELETE", {"incarnation": self._incarnation})
         await self._server.close_all_connections()
 
     def phase(self) -> str:
@@ -129,7 +136,7 @@
             return "starting"
         return self._phase
 
-    def hit(self) -> FaultMode:
+    def next_fault(self) -> FaultMode:
         """Return the fault that the next request meets."""
         faults = self.faults
         if faults.mode == FaultMode.FLAP:
@@ -139,7 +146,7 @@
             return FaultMode.NONE
         return faults.mode
 
-    async def work(self, slow: bool, left: asyncio.Event) -> None:
+    async def hold_slot(self, slow: bool, caller_left: asyncio.Event) -> None:
         """Hold a slot for the service time of one request, or until its caller left."""
         mean_ms = self.settings.service_time_ms
         duration_ms = mean_ms
@@ -149,7 +156,7 @@
             duration_ms *= self.faults.slow_factor
         async with self._slots:
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(left.wait(), duration_ms / MS_PER_S)
+                await asyncio.wait_for(caller_left.wait(), duration_ms / MS_PER_S)
 
     def is_full(self) -> bool:
         """Return True if slots and queue are taken, so that a request must be shed."""
@@ -175,10 +182,13 @@
             "connections": self.settings.connections,
             "phase": self.phase(),
         }
-        answer = await self._call_any("PUT", body)
-        return answer.get("renew_ms", 500)
+        answer = await self._call_registrar("PUT", body)
+        return answer.get("renew_ms", DEFAULT_RENEW_MS)
 
-    async def _call_any(self, method: str, body: dict[str, Any]) -> dict[str, Any]:
+    async def _call_registrar(
+        self, method: str, body: dict[str, Any]
+    ) -> dict[str, Any]:
+        """Return the answer of the first entry instance that accepts; {} without one."""
         settings = self.settings
         path = (
             f"/v1/environments/{settings.service}/{settings.stage}"
@@ -191,11 +201,11 @@
                     f"http://{address}{path}",
                     body=body,
                     token=settings.token,
-                    timeout_ms=800,
+                    timeout_ms=CALL_TIMEOUT_MS,
                 )
             except UnavailableError:
                 continue
-            if answer.status < 300:
+            if answer.status == STATUS_OK:
                 return answer.body if isinstance(answer.body, dict) else {}
         return {}
 
@@ -228,7 +238,7 @@
         self._backend: BackendServer = self.settings["backend"]
         self._digest = hashlib.sha256()
         self._body_bytes = 0
-        self._left = asyncio.Event()
+        self._caller_left = asyncio.Event()
         self._backend.in_flight_count += 1
         self._backend.idle.clear()
 
@@ -240,7 +250,7 @@
     def on_connection_close(self) -> None:
         """Count a caller that left."""
         self._backend.abandoned_count += 1
-        self._left.set()
+        self._caller_left.set()
 
     def on_finish(self) -> None:
         """Count the request as ended."""
@@ -252,21 +262,21 @@
         backend = self._backend
         if backend.faults.crash_mark and backend.faults.crash_mark in self.request.path:
             os._exit(CRASH_EXIT_CODE)
-        fault = backend.hit()
+        fault = backend.next_fault()
         if fault == FaultMode.SHED or backend.is_full():
             return self._shed()
         if fault == FaultMode.NOT_RUN:
             self.set_header(NOT_RUN, "true")
-            return self.set_status(503)
+            return self.set_status(STATUS_UNAVAILABLE)
         if fault == FaultMode.CLOSE_EARLY:
             return self._close()
         self._count_execution()
         if fault == FaultMode.SILENT:
-            await self._left.wait()
+            await self._caller_left.wait()
             return None
-        await backend.work(fault == FaultMode.SLOW, self._left)
+        await backend.hold_slot(fault == FaultMode.SLOW, self._caller_left)
         if fault == FaultMode.FAIL:
-            return self.set_status(500)
+            return self.set_status(STATUS_FAILED)
         if fault == FaultMode.CUT:
             return await self._cut_answer()
         return self._answer()
@@ -281,7 +291,7 @@
     def _shed(self) -> None:
         self.set_header(RETRY_AFTER, "1")
         self.set_header(NOT_RUN, "true")
-        self.set_status(503)
+        self.set_status(STATUS_UNAVAILABLE)
 
     def _close(self) -> None:
         connection: Any = self.request.connection
