Type the parts of a node and name its numbers

Cause: parts of the node, the client of control and the demonstration passed Any, bare statuses, or an expected outcome that was never compared. Ruled out: comparing the outcome in the demonstration; the client gives no headers, and the tests of request safety compare it. Change: types and named constants; the demonstration no longer claims to check an outcome.

--- a/demo/drive.py
+++ b/demo/drive.py
@@ -18,6 +18,7 @@
 FRONT_OF_ENTRY_2 = "127.20.0.12:18080"
 HOST = "rota-desk.example"
 STEP_TIMEOUT_S = 30
+ANNOUNCEMENT_TOKEN = "demonstration-rota-desk-token"
 SERVERS_PATH = "/v1/environments/rota-desk/production/servers"
 
 
@@ -62,14 +63,14 @@
         addresses = await _until(lambda: _addresses(2))
         self.say(f"a caller asked which addresses to use: {', '.join(addresses)}")
         answer = await _request(addresses[0], "GET", "/rota")
-        _expect(answer, 200, "done")
+        _expect(answer, 200)
         self.say(f"it got the whole answer, run by {answer.body['server_id']}")
 
     async def _claim_once(self) -> None:
         key = {"Idempotency-Key": "demo-slot-1"}
         first = await _until(lambda: _confirmed(key))
         again = await _request(FRONT_OF_ENTRY_2, "POST", "/confirmations", key)
-        _expect(again, 409, "done")
+        _expect(again, 409)
         self.say(
             f"a confirmation ran once on {first.body['server_id']}; its resend "
             "through the other entry instance was answered without running it again"
@@ -77,13 +78,13 @@
 
     async def _lose_backend_server(self) -> None:
         os.kill(self._pids["backend-1"], signal.SIGKILL)
-        started = time.monotonic()
+        killed_s = time.monotonic()
         for _ in range(20):
             answer = await _request(FRONT_OF_ENTRY_2, "GET", "/rota")
-            _expect(answer, 200, "done")
+            _expect(answer, 200)
         self.say("backend-1 was killed; 20 requests in a row were still answered")
         await _until(lambda: _healthy_count(1))
-        elapsed_s = time.monotonic() - started
+        elapsed_s = time.monotonic() - killed_s
         self.say(f"{elapsed_s:.1f} s after the kill no instance lists it any more")
 
     async def _stop_gracefully(self) -> None:
@@ -102,8 +103,8 @@
 
 
 async def _until(probe: Any) -> Any:
-    deadline = time.monotonic() + STEP_TIMEOUT_S
-    while time.monotonic() < deadline:
+    deadline_s = time.monotonic() + STEP_TIMEOUT_S
+    while time.monotonic() < deadline_s:
         try:
             result = await probe()
         except CardamomrunError:
@@ -123,7 +124,7 @@
         answer = await call(
             "GET",
             f"http://{address}{SERVERS_PATH}",
-            token="demonstration-rota-desk-token",
+            token=ANNOUNCEMENT_TOKEN,
         )
         if len(answer.body["healthy"]) != count:
             return False
@@ -149,9 +150,9 @@
     return await call(method, f"http://{address}{path}", body=body, headers=all_headers)
 
 
-def _expect(answer: CallAnswer, status: int, outcome: str) -> None:
+def _expect(answer: CallAnswer, status: int) -> None:
     if answer.status != status:
-        raise SystemExit(f"expected {status} ({outcome}), got {answer}")
+        raise SystemExit(f"expected status {status}, got {answer}")
 
 
 def _parse_pids(words: list[str]) -> dict[str, int]:
--- a/packages/cardamomrun-node/src/cardamomrun_node/admin.py
+++ b/packages/cardamomrun-node/src/cardamomrun_node/admin.py
@@ -8,12 +8,13 @@
 from tornado.web import Application, RequestHandler
 
 from cardamomrun_base.errors import AddressInUseError
-from cardamomrun_base.interfaces import Backends, Environments, Fleet
+from cardamomrun_base.interfaces import Backends, Environment, Environments, Fleet
 from cardamomrun_base.settings import NodeSettings
 
 __all__ = ["AdminListener"]
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
+STATUS_NOT_FOUND = 404
 
 
 class AdminListener:
@@ -51,7 +52,7 @@
 
     def prepare(self) -> None:
         """Answer 404 in the form of all errors of the admin listener."""
-        self.set_status(404)
+        self.set_status(STATUS_NOT_FOUND)
         self.finish(
             {
                 "error": "not-found",
@@ -105,7 +106,7 @@
             },
         }
 
-    def _environment(self, environment: Any) -> dict[str, Any]:
+    def _environment(self, environment: Environment) -> dict[str, Any]:
         view = self._backends.view(environment.body.environment)
         return {
             "version": environment.body.version,
--- a/packages/cardamomrun-node/src/cardamomrun_node/in_force.py
+++ b/packages/cardamomrun-node/src/cardamomrun_node/in_force.py
@@ -8,12 +8,12 @@
 from cardamomrun_backends.decider import Decider, InForce
 from cardamomrun_base.clock import Clock
 from cardamomrun_base.interfaces import Environment, Environments, Fleet, Leadership
-from cardamomrun_base.model import InstanceId, Kind, MemberBody
+from cardamomrun_base.model import EnvironmentBody, InstanceId, Kind, MemberBody
 from cardamomrun_base.settings import Role
 
 __all__ = ["InForceHandler"]
 
-NOT_LEADER_STATUS = 421
+STATUS_MISDIRECTED = 421
 STALE_REPORT_MS = 5_000
 
 
@@ -39,7 +39,7 @@
         """Write the status, or name the leader."""
         self.set_header("Content-Type", "application/json")
         if not self._leadership.holds_lease():
-            self.set_status(NOT_LEADER_STATUS)
+            self.set_status(STATUS_MISDIRECTED)
             self.write(json.dumps(self._not_leader()))
             return
         self.write(json.dumps(self._status()))
@@ -86,7 +86,8 @@
             "behind": behind,
         }
 
-    def _reason_behind(self, body: Any, report: InForce | None) -> str:
+    def _reason_behind(self, body: EnvironmentBody, report: InForce | None) -> str:
+        """Return why an instance is not counted; empty if it has the version."""
         if report is None:
             return "has not reported to this leader"
         version = report.versions.get(body.environment, 0)
--- a/packages/cardamomrun-node/src/cardamomrun_node/main.py
+++ b/packages/cardamomrun-node/src/cardamomrun_node/main.py
@@ -17,10 +17,10 @@
 
 __all__ = ["main"]
 
-_log = PartLog("node")
-
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
+_log = PartLog("node")
+
 
 class Commands:
     """Run one node of a cardamomrun fleet."""
@@ -52,15 +52,16 @@
 async def _run(settings: NodeSettings) -> None:
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
-    for number in STOP_SIGNALS:
-        loop.add_signal_handler(number, stopping.set)
+    for signal_number in STOP_SIGNALS:
+        loop.add_signal_handler(signal_number, stopping.set)
     node = Node(settings, SystemClock())
     register(node.fleet, node.environments, node.backends)
     await node.start()
     await stopping.wait()
-    for number in STOP_SIGNALS:
-        loop.remove_signal_handler(number)
-        signal.signal(number, signal.SIG_DFL)
+    # The default action lets a second signal end the process at once.
+    for signal_number in STOP_SIGNALS:
+        loop.remove_signal_handler(signal_number)
+        signal.signal(signal_number, signal.SIG_DFL)
     await node.stop()
     _log.info("has stopped")
 
--- a/packages/cardamomrun-node/src/cardamomrun_node/node.py
+++ b/packages/cardamomrun-node/src/cardamomrun_node/node.py
@@ -1,9 +1,8 @@
 """A node: the parts that its roles need, started and stopped in order."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack, suppress
-from typing import Any
 
 from tornado.web import URLSpec
 
@@ -31,6 +30,8 @@
 
 RESTART_PAUSE_MS = 1_000
 
+PartLoop = Callable[[], Awaitable[None]]
+
 _log = PartLog("node")
 
 
@@ -147,16 +148,15 @@
             URLSpec(r"/v1/status", StatusHandler, parts),
         ]
 
-    def _run(self, work: Any, stack: AsyncExitStack) -> None:
-        task = asyncio.get_running_loop().create_task(self._keep_running(work))
+    def _run(self, loop: PartLoop, stack: AsyncExitStack) -> None:
+        task = asyncio.get_running_loop().create_task(self._keep_running(loop))
         stack.push_async_callback(_cancel, task)
 
-    async def _keep_running(self, work: Any) -> None:
+    async def _keep_running(self, loop: PartLoop) -> None:
         """Run a part's loop; a fault in it is logged and does not end the part."""
         while True:
             try:
-                coroutine: Coroutine[Any, Any, None] = work()
-                await coroutine
+                await loop()
                 return
             except Exception as error:
                 _log.error(f"a part failed and is run again: {error!r}")
--- a/packages/cardamomrun-operators/src/cardamomrun_operators/control_client.py
+++ b/packages/cardamomrun-operators/src/cardamomrun_operators/control_client.py
@@ -4,6 +4,7 @@
 
 from cardamomrun_base.clock import Clock
 from cardamomrun_base.errors import (
+    EXIT_REFUSED,
     CardamomrunError,
     ConflictError,
     CredentialError,
@@ -16,7 +17,11 @@
 __all__ = ["ControlClient", "NotFoundError", "RefusedError"]
 
 RETRY_PAUSE_MS = 300
-MISDIRECTED_STATUS = 421
+# One silent instance must not use up the time for asking the others.
+CALLS_PER_TIMEOUT = 3
+MIN_CALL_MS = 1_000
+STATUS_OK = 200
+STATUS_MISDIRECTED = 421
 UNAVAILABLE_STATUSES = (503, 504)
 
 
@@ -24,7 +29,7 @@
     """Control refused the call."""
 
     kind = "refused"
-    exit_code = 6
+    exit_code = EXIT_REFUSED
 
 
 class NotFoundError(RefusedError):
@@ -68,9 +73,9 @@
                 faults[address] = "no answer."
                 await self._clock.sleep_ms(RETRY_PAUSE_MS)
                 continue
-            if answer.status < 300:
+            if answer.status == STATUS_OK:
                 return answer.body
-            if answer.status == MISDIRECTED_STATUS:
+            if answer.status == STATUS_MISDIRECTED:
                 faults[address] = "it does not lead."
                 await self._follow_leader(answer, addresses)
                 continue
@@ -92,7 +97,7 @@
             except UnavailableError as error:
                 answers[address] = UnavailableError("no answer.", remedy=error.remedy)
                 continue
-            refused = answer.status >= 300
+            refused = answer.status != STATUS_OK
             answers[address] = _refusal(answer) if refused else answer.body
         return answers
 
@@ -104,7 +109,7 @@
             f"http://{address}{path}",
             body=body,
             token=self._token,
-            timeout_ms=max(1_000, self._settings.timeout_ms // 3),
+            timeout_ms=max(MIN_CALL_MS, self._settings.timeout_ms // CALLS_PER_TIMEOUT),
         )
 
     async def _follow_leader(self, answer: CallAnswer, addresses: list[str]) -> None:
