Remove an unused digest and name the default customer header

Cause: nothing called digest_hex, headers.CUSTOMER was unused while the document repeated its text, and the clock's wall time was said to be for logs, whose times eliot writes. Ruled out: nothing. Change: as said. Conclusion: no change of behaviour.

--- a/packages/cardamomrun-base/src/cardamomrun_base/clock.py
+++ b/packages/cardamomrun-base/src/cardamomrun_base/clock.py
@@ -17,7 +17,7 @@
         raise NotImplementedError
 
     def wall_ms(self) -> int:
-        """Return milliseconds since the Unix epoch, for audit entries and logs."""
+        """Return milliseconds since the Unix epoch, for audit entries and records."""
         raise NotImplementedError
 
     async def sleep_ms(self, duration_ms: float) -> None:
--- a/packages/cardamomrun-base/src/cardamomrun_base/documents.py
+++ b/packages/cardamomrun-base/src/cardamomrun_base/documents.py
@@ -17,6 +17,7 @@
 )
 from cardamomrun_base.codec import message
 from cardamomrun_base.errors import DocumentError
+from cardamomrun_base.headers import CUSTOMER
 from cardamomrun_base.jsonc import JsonWithComments
 
 __all__ = [
@@ -126,7 +127,7 @@
     floor: Floor = Floor()
     limits: Limits = Limits()
     retries: Retries = Retries()
-    customer_header: str = "Cardamomrun-Customer"
+    customer_header: str = CUSTOMER
 
 
 _document_adapter = TypeAdapter(EnvironmentDocument)
--- a/packages/cardamomrun-base/src/cardamomrun_base/hashing.py
+++ b/packages/cardamomrun-base/src/cardamomrun_base/hashing.py
@@ -4,7 +4,7 @@
 
 import xxhash
 
-__all__ = ["digest_hex", "rank", "score"]
+__all__ = ["rank", "score"]
 
 
 def score(*parts: str) -> int:
@@ -25,8 +25,3 @@
     True
     """
     return sorted(candidates, key=lambda name: (score(key, name), name), reverse=True)
-
-
-def digest_hex(data: bytes) -> str:
-    """Return a 128-bit non-cryptographic digest for comparing contents."""
-    return xxhash.xxh3_128_hexdigest(data)
