--- a/tests/test_interfaces.py
+++ b/tests/test_interfaces.py
@@ -144,6 +144,33 @@
         assert shown == ("required" if default is MISSING else str(default)), key
 
 
+def test_errors_of_the_front_are_on_the_page():
+    """Guards against errors that a caller cannot look up."""
+    kinds = set()
+    for path in ROOT.glob("packages/cardamomrun-requests/src/**/*.py"):
+        kinds |= set(re.findall(r"\.error\(\s*\"([a-z-]+)\"", path.read_text()))
+    assert "quarantined" in kinds
+    section = PAGE.split("## 4. Callers")[1].split("## 5. Operators")[0]
+    rows = [line.split("|") for line in section.splitlines() if line.startswith("|")]
+    documented = {kind for row in rows for kind in re.findall(r"`([^`]+)`", row[2])}
+    assert kinds <= documented
+
+
+def test_parts_of_the_logs():
+    """Guards against log lines of a part that the pages do not list."""
+    parts = set()
+    for path in ROOT.glob("packages/*/src/**/*.py"):
+        parts |= set(re.findall(r'PartLog\("([a-z]+)"\)', path.read_text()))
+    section = PAGE.split("## 7. Logs")[1].split("## 8. Metrics")[0]
+    rows = [line.split("|") for line in section.splitlines() if line.startswith("| `")]
+    documented = {part for row in rows for part in re.findall(r"`([a-z]+)`", row[1])}
+    design = (ROOT / "docs" / "design.md").read_text()
+    rule = design.split("fixed prefix per part (")[1].split(")")[0]
+    assert parts == documented
+    assert parts == set(re.findall(r"`([a-z]+):`", rule))
+    assert "claims" in parts
+
+
 def _run_command(*words: str) -> subprocess.CompletedProcess[str]:
     command = [sys.executable, "-m", "cardamomrun_operators.main", *words]
     return subprocess.run(
