Close gaps that the proofs page found

Cause: removing os.fsync, ejecting during a freeze, or leaving draining servers out of the floor's base made no test fail; nothing checked that the product starts no process; a side of a partition with a minority of control called itself current.

--- a/packages/cardamomrun-backends/tests/test_decider.py
+++ b/packages/cardamomrun-backends/tests/test_decider.py
@@ -59,6 +59,15 @@
     assert len(instance.view().healthy) >= 20 - others - allowed - spared >= 16
 
 
+@pytest.mark.parametrize("phase", [BackendPhase.DRAINING, BackendPhase.GONE])
+def test_servers_that_leave_do_not_lower_the_floor(phase):
+    # Guards P1: with 5 of 20 servers left out of its base, a floor of 16 became 12.
+    instance = Instance(servers(20), env=environment(ratio=0.8))
+    for place in range(5):
+        publish(instance.store, server(f"b{place}", phase), counter=1)
+    assert instance.view().floor_count == 16
+
+
 def test_only_the_highest_decider_epoch_is_honoured():
     # Guards P1 with two deciders that both believe to lead.
     instance = Instance(servers(10))
--- a/packages/cardamomrun-backends/tests/test_judgement.py
+++ b/packages/cardamomrun-backends/tests/test_judgement.py
@@ -101,6 +101,24 @@
     assert traffic.decision.frozen
 
 
+def test_no_server_is_ejected_during_a_freeze():
+    # Guards against the last servers to recover from a common cause, which look sick
+    # beside those that have recovered.
+    traffic = Traffic(FASTEST_DETECTION, ratio=0.0)
+    traffic.run_s(60)
+    for i in range(20):
+        traffic.rates[f"b{i}"] = (0.9, 0.0, 0.0)
+    traffic.run_s(2)
+    assert traffic.decision.frozen
+    for i in range(1, 20):
+        del traffic.rates[f"b{i}"]
+    while traffic.decision.frozen:
+        assert traffic.decision.ejected == ()
+        traffic.step()
+    traffic.run_s(4)
+    assert traffic.decision.ejected == ("b0",)
+
+
 def test_flapping_server_stays_away_longer_each_time():
     # Guards against a flapping server that returns every few seconds.
     traffic = Traffic(FEWEST_FALSE_EJECTIONS, count=8)
--- a/packages/cardamomrun-control/tests/test_storage.py
+++ b/packages/cardamomrun-control/tests/test_storage.py
@@ -241,3 +241,28 @@
     log = opened(folder)
     log.close()
     return time.perf_counter() - started_s
+
+
+def test_an_entry_counts_only_after_its_file_is_synced(tmp_path, monkeypatch):
+    """Guards against an accepted change that a power failure takes back."""
+    log = DurableLog(tmp_path, Disk())
+    log.open()
+    asyncio.run(log.append(entries(1, 1)))
+    calls = []
+    real_write, real_fsync = os.write, os.fsync
+
+    def write(descriptor, data):
+        calls.append(("write", descriptor))
+        return real_write(descriptor, data)
+
+    def fsync(descriptor):
+        calls.append(("fsync", descriptor))
+        real_fsync(descriptor)
+
+    monkeypatch.setattr(os, "write", write)
+    monkeypatch.setattr(os, "fsync", fsync)
+    asyncio.run(log.append(entries(2, 2)))
+    assert [call for call, _ in calls] == ["write", "fsync"]
+    assert calls[0][1] == calls[1][1]
+    monkeypatch.undo()
+    log.close()
--- a/packages/cardamomrun-fleet/src/cardamomrun_fleet/fleet.py
+++ b/packages/cardamomrun-fleet/src/cardamomrun_fleet/fleet.py
@@ -79,6 +79,10 @@
 # partition find each other again.
 FAILED_PROBE_MS = 10_000
 STOP_TIMEOUT_MS = 2_000
+# A leader confirms its record each 60 s by its wall clock. Two missed confirmations
+# and half a minute for different clocks show that no leader is heard, also where
+# control instances without a majority are in reach.
+CONFIRMED_MS = 150_000
 
 CONNECT_ERRORS = (
     OSError,
@@ -207,7 +211,8 @@
         """Return True until a peer answered, and while no known member answers.
 
         Also while the fleet has a control leader's record and no control instance is
-        reachable: a change accepted behind a partition would not arrive here.
+        reachable, or the leader has not confirmed its record for `CONFIRMED_MS`: a
+        change accepted behind a partition would not arrive here.
         """
         if self._synced_ms is None or self._lacks_control():
             return True
@@ -224,8 +229,12 @@
     def _lacks_control(self) -> bool:
         # The leader record outlives the member records of control instances, which
         # are dropped some time after they failed.
-        if self._store.get(Kind.LEADER, LEADER_KEY) is None:
+        record = self._store.get(Kind.LEADER, LEADER_KEY)
+        if record is None:
             return False
+        age_ms = self._clock.wall_ms() - record.content.confirmed_wall_ms
+        if age_ms > CONFIRMED_MS:
+            return True
         return not any(Role.CONTROL in member.roles for member in self.members())
 
     def add_address(self, instance_id: InstanceId, peer_address: str) -> None:
--- a/packages/cardamomrun-fleet/tests/test_fleet.py
+++ b/packages/cardamomrun-fleet/tests/test_fleet.py
@@ -202,9 +202,8 @@
     async def check():
         async with running(tmp_path, 2) as (one, two):
             await until(lambda: not one.may_be_behind(), "n0 has caught up")
-            body = LeaderBody("control-1", 1, "127.0.0.1:1", "127.0.0.1:2")
-            record = Record.of(Kind.LEADER, "control", "control-1", (1, 1), body)
-            two.store.put(record)
+            now_ms = SystemClock().wall_ms()
+            two.store.put(_leader_record(1, now_ms))
             await until(one.may_be_behind, "the leader is not a member")
             member = replace(two.membership.get("n1"), roles=("control",))
             version = two.membership.incarnation + 1, 1
@@ -212,5 +211,21 @@
             record = Record.of(Kind.MEMBER, "control-1", "control-1", version, member)
             two.store.put(record)
             await until(lambda: not one.may_be_behind(), "control is a member again")
+            # A minority of the control instances is in reach, and no leader.
+            two.store.put(_leader_record(2, now_ms - 200_000))
+            await until(one.may_be_behind, "no leader confirmed its record lately")
+            two.store.put(_leader_record(3, now_ms))
+            await until(lambda: not one.may_be_behind(), "the leader is heard again")
 
     asyncio.run(check())
+
+
+def _leader_record(counter, confirmed_wall_ms):
+    body = LeaderBody(
+        "control-1",
+        1,
+        "127.0.0.1:1",
+        "127.0.0.1:2",
+        confirmed_wall_ms=confirmed_wall_ms,
+    )
+    return Record.of(Kind.LEADER, "control", "control-1", (1, counter), body)
