Revert "Leave objects of the start out of garbage collections"

Ruled out: garbage collection of start-up objects as the cause of the tail. Change: gc.collect and gc.freeze after the start removed again.

--- a/packages/cardamomrun-node/src/cardamomrun_node/main.py
+++ b/packages/cardamomrun-node/src/cardamomrun_node/main.py
@@ -1,7 +1,6 @@
 """Entry point of the node binary."""
 
 import asyncio
-import gc
 import signal
 import sys
 from json import dumps
@@ -58,7 +57,6 @@
     node = Node(settings, SystemClock())
     register(node.fleet, node.environments, node.backends)
     await node.start()
-    _exclude_from_collection()
     await stopping.wait()
     # The default action lets a second signal end the process at once.
     for signal_number in STOP_SIGNALS:
@@ -68,16 +66,6 @@
     _log.info("has stopped")
 
 
-def _exclude_from_collection() -> None:
-    """Leave what the start created out of garbage collections.
-
-    A full collection of the modules and classes alone takes 12 ms, in which no request
-    is answered; they live as long as the process.
-    """
-    gc.collect()
-    gc.freeze()
-
-
 def main() -> None:
     """Run one command; on a typed error print it with its remedy and exit."""
     try:
