Log roster changes and the ends of joint phases

Cause: operators could not tell from the log whether a joint phase, which may last for hours after the loss of an instance, has ended.

Change: the control leader logs both commits.

--- a/packages/cardamomrun-control/src/cardamomrun_control/publisher.py
+++ b/packages/cardamomrun-control/src/cardamomrun_control/publisher.py
@@ -143,6 +143,7 @@
             return
         command = SetRoster(self._clock.wall_ms(), roster.epoch, members)
         await self._agreement.propose(command)
+        _log.info(f"roster {roster.epoch + 1} has {len(members)} members")
 
     async def _end_joint_phase(self, roster: RosterBody) -> None:
         if not self._agreement.holds_lease():
@@ -150,6 +151,7 @@
         if self._joint_phase.may_end(self._agreement.term, roster):
             command = EndJointRoster(self._clock.wall_ms(), roster.epoch)
             await self._agreement.propose(command)
+            _log.info(f"the joint phase of roster {roster.epoch} has ended")
 
     def _is_settled(self, now_ms: float) -> bool:
         if now_ms - self._members_since_ms < self._settings.roster_settle_ms:
