--- a/packages/cardamomrun-base/src/cardamomrun_base/clock.py
+++ b/packages/cardamomrun-base/src/cardamomrun_base/clock.py
@@ -26,10 +26,14 @@
 
 
 class SystemClock(Clock):
-    """The clock of the operating system."""
+    """The clock of the operating system.
+
+    It counts the time in which the machine was suspended, so that a lease does not
+    outlive a suspension of its holder.
+    """
 
     def now_ms(self) -> float:
-        return time.monotonic_ns() / NS_PER_MS
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) / NS_PER_MS
 
     def wall_ms(self) -> int:
         return time.time_ns() // NS_PER_MS
--- a/packages/cardamomrun-base/src/cardamomrun_base/jsonc.py
+++ b/packages/cardamomrun-base/src/cardamomrun_base/jsonc.py
@@ -1,12 +1,13 @@
-"""JSON with comments, read with the line of each key and without duplicate keys."""
+"""JSON with comments, read with the line of each key and without duplicate keys.
 
+The parser is imported at its first use: importing it takes longer than all other
+modules of a node together, and not every node reads such a file.
+"""
+
+import importlib
 from dataclasses import dataclass
 from typing import Any
 
-from json5 import model
-from json5.loader import ModelLoader, loads
-from json5.utils import JSON5DecodeError
-
 __all__ = ["JsonWithComments", "JsonWithCommentsError", "parse"]
 
 Path = tuple[str | int, ...]
@@ -45,15 +46,18 @@
     Traceback (most recent call last):
     cardamomrun_base.jsonc.JsonWithCommentsError: key 'a' is given twice
     """
+    loader = importlib.import_module("json5.loader")
+    utils = importlib.import_module("json5.utils")
     try:
-        document = loads(text, loader=ModelLoader())
-    except JSON5DecodeError as error:
+        document = loader.loads(text, loader=loader.ModelLoader())
+    except utils.JSON5DecodeError as error:
         raise JsonWithCommentsError(str(error)) from error
     lines: dict[Path, int] = {}
     return JsonWithComments(_value(document.value, (), lines), lines)
 
 
 def _value(node: Any, path: Path, lines: dict[Path, int]) -> Any:
+    model = importlib.import_module("json5.model")
     if node.lineno is not None:
         lines.setdefault(path, node.lineno)
     if isinstance(node, model.JSONObject):
--- a/packages/cardamomrun-base/src/cardamomrun_base/model.py
+++ b/packages/cardamomrun-base/src/cardamomrun_base/model.py
@@ -24,6 +24,8 @@
     "Record",
     "RosterBody",
     "RosterMember",
+    "RoutedServerBody",
+    "RoutingBody",
     "Stage",
     "SuspicionBody",
     "backend_key",
@@ -53,6 +55,8 @@
     CRASH = "crash"
     LEADER = "leader"
     ROSTER = "roster"
+    ROUTING = "routing"
+    ROUTED_SERVER = "routed-server"
 
 
 class MemberPhase(StrEnum):
@@ -260,3 +264,32 @@
     epoch: int
     members: tuple[RosterMember, ...]
     previous_members: tuple[RosterMember, ...]
+
+
+@message("routing")
+@dataclass(frozen=True)
+class RoutingBody:
+    """A committed routing document in the form of `pack_routing`."""
+
+    number: int
+    digest: str
+    packed: bytes
+
+
+@message("routed-server")
+@dataclass(frozen=True)
+class RoutedServerBody:
+    """A backend server of a routed service, as announced.
+
+    `incarnation` is raised at each of its starts. For `warm_up_ms` after its first
+    announcement the server is slower than later.
+    """
+
+    service: str
+    server_id: ServerId
+    incarnation: int
+    address: str
+    failure_domain: str
+    slots: int
+    phase: BackendPhase
+    warm_up_ms: int = 0
--- a/packages/cardamomrun-base/src/cardamomrun_base/outcomes.py
+++ b/packages/cardamomrun-base/src/cardamomrun_base/outcomes.py
@@ -25,7 +25,7 @@
     reason: str
     remedy: str
     status: int = 503
-    retry_after_s: int | None = None
+    retry_after_s: float | None = None
     tag: Literal["not-run"] = "not-run"
 
 
--- a/packages/cardamomrun-base/src/cardamomrun_base/settings.py
+++ b/packages/cardamomrun-base/src/cardamomrun_base/settings.py
@@ -46,14 +46,18 @@
     """Settings of the control role.
 
     `voters` is read only when the data folder is empty; later changes go through the
-    log.
+    log. It is empty on an instance that joins a cluster. `voter_count` and
+    `voter_lost_ms` apply where the leader maintains the voters by itself: how many it
+    aims at, and after which silence it replaces one.
     """
 
     __pydantic_config__ = STRICT
 
     data_folder: Path
-    voters: Annotated[tuple[Voter, ...], Field(min_length=1, max_length=8)]
-    operator_tokens_file: Path
+    voters: Annotated[tuple[Voter, ...], Field(max_length=8)]
+    operator_tokens_file: Path | None = None
+    voter_count: Annotated[int, Field(ge=1, le=8)] = 5
+    voter_lost_ms: Annotated[int, Field(ge=1_000, le=86_400_000)] = 3_000
     election_timeout_ms: Annotated[int, Field(ge=100, le=60_000)] = 1_000
     heartbeat_ms: Annotated[int, Field(ge=10, le=10_000)] = 200
     snapshot_entry_count: Annotated[int, Field(ge=10, le=1_000_000)] = 1_000
@@ -65,7 +69,9 @@
 
     __pydantic_config__ = STRICT
 
-    key_file: Path
+    key_file: Path | None = None
+    # Peers are accepted without proof: only for a network that admits nobody else.
+    trusts_network: bool = False
     seeds: tuple[PeerAddress, ...] = ()
     overlay_links: Annotated[int, Field(ge=1, le=32)] = 4
     ping_ms: Annotated[int, Field(ge=50, le=60_000)] = 1_000
@@ -85,6 +91,28 @@
     authority_file: Path
 
 
+@dataclass(frozen=True)
+class GatewaySettings:
+    """Settings of instances that run a routing document.
+
+    The retry budget bounds the further attempts of the whole fleet for a service:
+    `retry_ratio` of its requests in `retry_window_ms`, and `retry_slack_count` more.
+    `drain_ms` is how long a leaving backend server still serves, and `grace_ms` the
+    time that a stop of an instance may take.
+    """
+
+    __pydantic_config__ = STRICT
+
+    retry_ratio: Annotated[float, Field(ge=0, le=1)] = 0.2
+    retry_window_ms: Annotated[int, Field(ge=1_000, le=600_000)] = 10_000
+    retry_slack_count: Annotated[int, Field(ge=0, le=100_000)] = 20
+    floor_ratio: Annotated[float, Field(ge=0, le=1)] = 0.7
+    drain_ms: Annotated[int, Field(ge=100, le=600_000)] = 2_000
+    grace_ms: Annotated[int, Field(ge=500, le=600_000)] = 6_000
+    report_idle_ms: Annotated[int, Field(ge=20, le=10_000)] = 250
+    connection_idle_ms: Annotated[int, Field(ge=100, le=600_000)] = 4_000
+
+
 @dataclass(frozen=True)
 class NodeSettings:
     """All settings of one node."""
@@ -100,7 +128,7 @@
     admin_port: Port
     peer_port: Port
     fleet: FleetSettings
-    announcement_tokens_file: Path
+    announcement_tokens_file: Path | None = None
     control: ControlSettings | None = None
     tls: TlsSettings | None = None
     directory_ttl_ms: Annotated[int, Field(ge=100, le=600_000)] = 5_000
@@ -112,6 +140,7 @@
     # Control may be away for hours, during which keepers go on with the last roster.
     roster_lease_ms: Annotated[int, Field(ge=1_000, le=604_800_000)] = 21_600_000
     advertised_peer_address: PeerAddress | None = None
+    gateway: GatewaySettings | None = None
 
     @property
     def front_address(self) -> str:
@@ -145,6 +174,7 @@
     parsed = parse_named(_read_text(path), str(path), SettingsError)
     settings = check_fields(_settings_adapter, parsed, str(path), SettingsError)
     _check_roles(settings, path)
+    _check_secrets(settings, path)
     return _with_absolute_paths(settings, path.resolve().parent)
 
 
@@ -179,6 +209,24 @@
     return replace(part, **paths)
 
 
+def _check_secrets(settings: NodeSettings, path: Path) -> None:
+    """Check what only a node that trusts its network may leave out."""
+    fleet, control = settings.fleet, settings.control
+    missing = {
+        "fleet.key_file": fleet.key_file is None and not fleet.trusts_network,
+        "announcement_tokens_file": settings.announcement_tokens_file is None,
+        "control.operator_tokens_file": (
+            control is not None and control.operator_tokens_file is None
+        ),
+    }
+    for key, is_missing in missing.items():
+        if is_missing:
+            raise SettingsError(
+                f"{path}: key {key}: Field required.",
+                remedy="add the key; docs/interfaces.md gives its meaning",
+            )
+
+
 def _check_roles(settings: NodeSettings, path: Path) -> None:
     if Role.CONTROL in settings.roles and settings.control is None:
         raise SettingsError(
--- /dev/null
+++ b/packages/cardamomrun-control/src/cardamomrun_control/routing_service.py
@@ -0,0 +1,325 @@
+"""The control role of an instance that runs a routing document."""
+
+import asyncio
+from contextlib import suppress
+from dataclasses import dataclass, replace
+from typing import Any
+
+from cardamomrun_base.clock import Clock
+from cardamomrun_base.codec import decode, encode, message
+from cardamomrun_base.errors import (
+    CardamomrunError,
+    StorageError,
+    UnavailableError,
+)
+from cardamomrun_base.interfaces import Fleet
+from cardamomrun_base.logs import PartLog
+from cardamomrun_base.model import (
+    BackendPhase,
+    InstanceId,
+    Kind,
+    LeaderBody,
+    Record,
+    RoutedServerBody,
+    RoutingBody,
+    ServerId,
+)
+from cardamomrun_base.routing_document import (
+    RoutingDocument,
+    check_routing,
+    pack_routing,
+    unpack_routing,
+)
+from cardamomrun_base.settings import NodeSettings
+from cardamomrun_control.agreement import Agreement
+from cardamomrun_control.metrics import watch
+from cardamomrun_control.routing_state import (
+    PutRouting,
+    PutRoutingResult,
+    RetiredServer,
+    RetireServer,
+    routing_digest,
+)
+from cardamomrun_control.state import ControlState
+from cardamomrun_control.status import LEADER_KEY
+from cardamomrun_control.storage import DurableLog
+from cardamomrun_control.voter_keeper import VoterKeeper
+
+__all__ = ["ROUTING_KEY", "RoutingControl", "drained_counter"]
+
+ROUTING_KEY = "routing"
+ROUND_MS = 200
+# Callers of control give an instance one second; what is forwarded to the leader has
+# to come back within it.
+FORWARD_TIMEOUT_MS = 850
+# Changes that follow each other are published together: each publication carries the
+# whole document to every instance.
+PUBLISH_SPACING_MS = 250
+# Announcements of one incarnation are numbered from 0; these counters rank above them,
+# so that no late announcement returns a server that drains or is gone to service.
+DRAINING_COUNTER = 1 << 40
+GONE_COUNTER = 1 << 41
+# Longer than an announcement can be late.
+GONE_LIFETIME_MS = 600_000
+
+_log = PartLog("control")
+
+
+def drained_counter(*, is_gone: bool) -> int:
+    """Return the counter of the record of a server that leaves."""
+    return GONE_COUNTER if is_gone else DRAINING_COUNTER
+
+
+@message("control-forward")
+@dataclass(frozen=True)
+class ForwardRequest:
+    """A command for the leader in encoded form; empty to read the document."""
+
+    command: bytes
+
+
+@message("control-forward-answer")
+@dataclass(frozen=True)
+class ForwardAnswer:
+    """The encoded result of a command, or why there is none."""
+
+    result: bytes
+    reason: str = ""
+
+
+class RoutingControl:
+    """Composes log, state, agreement and voters, and publishes what is committed.
+
+    `put`, `retire` and `read` work on every control instance: they are passed on to
+    the leader, and raise `UnavailableError` unless a majority confirmed the result.
+    """
+
+    def __init__(self, settings: NodeSettings, clock: Clock, fleet: Fleet) -> None:
+        assert settings.control is not None
+        self._settings = settings
+        self._clock = clock
+        self._fleet = fleet
+        self._state = ControlState()
+        log = DurableLog(settings.control.data_folder)
+        self.agreement = Agreement(settings, clock, fleet, log, self._state)
+        self.agreement.on_commit = self._committed
+        self._keeper = VoterKeeper(settings, clock, fleet, self.agreement)
+        self._changed = asyncio.Event()
+        self._tasks: list[asyncio.Task[None]] = []
+        fleet.handle(ForwardRequest, self._on_forward)
+
+    async def start(self) -> None:
+        """Open the data folder and take part in the agreement."""
+        assert self._settings.control is not None
+        self._settings.control.data_folder.mkdir(parents=True, exist_ok=True)
+        await self.agreement.start()
+        watch(self.agreement)
+        self._changed.set()
+        loop = asyncio.get_running_loop()
+        self._tasks = [
+            loop.create_task(self._publish_changes()),
+            loop.create_task(self._lead()),
+        ]
+
+    async def stop(self) -> None:
+        """Stop publishing and leave the agreement."""
+        for task in self._tasks:
+            task.cancel()
+        for task in self._tasks:
+            with suppress(asyncio.CancelledError):
+                await task
+        await self.agreement.stop()
+
+    async def put(self, document: RoutingDocument, operator: str) -> PutRoutingResult:
+        """Put a document in force, or keep the one held if that is not older.
+
+        Raises `DocumentError` if the document is invalid, `UnavailableError` if it is
+        not known whether a majority holds it.
+        """
+        check_routing(document)
+        command = PutRouting(
+            operator,
+            self._clock.wall_ms(),
+            document.number,
+            routing_digest(document.source),
+            pack_routing(document),
+        )
+        result = await self._propose(command)
+        _log.info(
+            "answers a routing document",
+            number=document.number,
+            in_force=result.number,
+            has_changed=result.has_changed,
+            operator=operator,
+        )
+        return result
+
+    async def read(self) -> RoutingDocument | None:
+        """Return the newest document; None if there is none yet.
+
+        Raises `UnavailableError` unless a majority confirms that it is the newest.
+        """
+        if self.agreement.is_leader:
+            await self.agreement.confirm_leadership()
+            packed = self._state.routing.packed
+        else:
+            answer = await self._forward(ForwardRequest(b""))
+            packed = answer.result
+        return unpack_routing(packed) if packed else None
+
+    async def retire(
+        self, server_id: ServerId, incarnation: int, *, is_gone: bool
+    ) -> None:
+        """Return once a majority holds that a server gets no new work.
+
+        Raises `UnavailableError` otherwise.
+        """
+        held = self._state.routing.retired(server_id)
+        asked = (incarnation, is_gone)
+        if held is not None and (held.incarnation, held.is_gone) >= asked:
+            return
+        command = RetireServer(self._clock.wall_ms(), server_id, incarnation, is_gone)
+        await self._propose(command)
+        _log.info(
+            "a backend server leaves",
+            server_id=server_id,
+            incarnation=incarnation,
+            is_gone=is_gone,
+        )
+
+    def is_retired(self, server_id: ServerId, incarnation: int) -> bool:
+        """Return True if a server left in this incarnation or a later one."""
+        held = self._state.routing.retired(server_id)
+        return held is not None and held.incarnation >= incarnation
+
+    async def _propose(self, command: Any) -> Any:
+        if self.agreement.is_leader:
+            return await self._propose_here(command)
+        answer = await self._forward(ForwardRequest(encode(command)))
+        return decode(answer.result)
+
+    async def _propose_here(self, command: Any) -> Any:
+        try:
+            async with asyncio.timeout(FORWARD_TIMEOUT_MS / 1_000):
+                return await self.agreement.propose(command)
+        except TimeoutError as error:
+            raise UnavailableError(
+                "No majority of the control instances answered in time.",
+                remedy="send the same change again",
+            ) from error
+
+    async def _forward(self, request: ForwardRequest) -> ForwardAnswer:
+        leader_id = self._leader_id()
+        if leader_id is None or leader_id == self._settings.instance_id:
+            raise UnavailableError(
+                "No leader of the control instances is known.",
+                remedy="ask again in a second, or ask another control instance",
+            )
+        answer = await self._fleet.request(
+            leader_id, request, timeout_ms=FORWARD_TIMEOUT_MS
+        )
+        if not isinstance(answer, ForwardAnswer) or answer.reason:
+            reason = getattr(answer, "reason", "it sent another message")
+            raise UnavailableError(
+                f"The leader {leader_id} did not confirm: {reason}",
+                remedy="ask again in a second, or ask another control instance",
+            )
+        return answer
+
+    def _leader_id(self) -> InstanceId | None:
+        if self.agreement.leader_id is not None:
+            return self.agreement.leader_id
+        record = self._fleet.store.get(Kind.LEADER, LEADER_KEY)
+        return None if record is None else record.content.instance_id
+
+    async def _on_forward(
+        self, peer_id: InstanceId, request: ForwardRequest
+    ) -> ForwardAnswer:
+        try:
+            if not request.command:
+                await self.agreement.confirm_leadership()
+                return ForwardAnswer(self._state.routing.packed)
+            result = await self._propose_here(decode(request.command))
+        except (UnavailableError, StorageError) as error:
+            return ForwardAnswer(b"", str(error))
+        return ForwardAnswer(encode(result))
+
+    def _committed(self) -> None:
+        self._changed.set()
+
+    async def _publish_changes(self) -> None:
+        """Publish committed changes, those of a short time together."""
+        while True:
+            await self._changed.wait()
+            self._changed.clear()
+            try:
+                self._publish_routing()
+                self._publish_retired()
+            except CardamomrunError as error:
+                _log.error(f"committed state was not published: {error}")
+            await self._clock.sleep_ms(PUBLISH_SPACING_MS)
+
+    def _publish_routing(self) -> None:
+        routing = self._state.routing
+        held = self._fleet.store.get(Kind.ROUTING, ROUTING_KEY)
+        version = (0, routing.number)
+        if routing.is_empty or (held is not None and held.version >= version):
+            return
+        body = RoutingBody(routing.number, routing.digest, routing.packed)
+        self._put(Kind.ROUTING, ROUTING_KEY, version, body)
+        _log.info("publishes a routing document", number=routing.number)
+
+    def _publish_retired(self) -> None:
+        for entry in self._state.routing.all_retired():
+            counter = drained_counter(is_gone=entry.is_gone)
+            held = self._fleet.store.get(Kind.ROUTED_SERVER, entry.server_id)
+            version = (entry.incarnation, counter)
+            if held is not None and held.version >= version:
+                continue
+            body = _retired_body(entry, held)
+            lifetime_ms = GONE_LIFETIME_MS if entry.is_gone else None
+            self._put(Kind.ROUTED_SERVER, entry.server_id, version, body, lifetime_ms)
+
+    async def _lead(self) -> None:
+        """Publish the leader record and maintain the voters while this one leads."""
+        while True:
+            try:
+                self._publish_leader()
+                await self._keeper.maintain()
+            except CardamomrunError as error:
+                _log.warning(f"the voters were not changed: {error}")
+            await self._clock.sleep_ms(ROUND_MS)
+
+    def _publish_leader(self) -> None:
+        if not self.agreement.holds_lease():
+            return
+        settings = self._settings
+        body = LeaderBody(
+            settings.instance_id,
+            self.agreement.term,
+            settings.admin_address,
+            settings.published_peer_address,
+        )
+        held = self._fleet.store.get(Kind.LEADER, LEADER_KEY)
+        if held is None or held.epoch < body.term:
+            self._put(Kind.LEADER, LEADER_KEY, (body.term, 1), body)
+
+    def _put(
+        self,
+        kind: Kind,
+        key: str,
+        version: tuple[int, int],
+        body: Any,
+        lifetime_ms: int | None = None,
+    ) -> None:
+        owner_id = self._settings.instance_id
+        self._fleet.store.put(
+            Record.of(kind, key, owner_id, version, body, lifetime_ms)
+        )
+
+
+def _retired_body(entry: RetiredServer, held: Record | None) -> RoutedServerBody:
+    phase = BackendPhase.GONE if entry.is_gone else BackendPhase.DRAINING
+    if held is not None:
+        return replace(held.content, incarnation=entry.incarnation, phase=phase)
+    return RoutedServerBody("", entry.server_id, entry.incarnation, "", "", 0, phase)
--- a/packages/cardamomrun-control/src/cardamomrun_control/service.py
+++ b/packages/cardamomrun-control/src/cardamomrun_control/service.py
@@ -55,6 +55,7 @@
 
     async def start(self) -> None:
         """Open the data folder and take part in the agreement."""
+        assert self._settings.operator_tokens_file is not None
         tokens = OperatorTokens(self._settings.operator_tokens_file)
         await self._agreement.start()
         watch(self._agreement)
--- a/packages/cardamomrun-control/src/cardamomrun_control/state.py
+++ b/packages/cardamomrun-control/src/cardamomrun_control/state.py
@@ -20,6 +20,14 @@
     environment_id,
 )
 from cardamomrun_control.audit import GENESIS_HASH, AuditEntry, chain
+from cardamomrun_control.routing_state import (
+    PutRouting,
+    PutRoutingResult,
+    RetiredServer,
+    RetireServer,
+    RoutingImage,
+    RoutingState,
+)
 
 __all__ = [
     "ApplyDocument",
@@ -42,6 +50,7 @@
 FIRST_ANSWER_COUNT = 20_000
 
 DONE = "done"
+KEPT = "kept"
 CONFLICT_VERSION = "version-conflict"
 CONFLICT_NUMBER = "change-number-conflict"
 REFUSED_DIGEST = "digest-conflict"
@@ -204,6 +213,7 @@
     answers: tuple[_FirstAnswer, ...]
     audit: tuple[AuditEntry, ...]
     roster: RosterBody
+    routing: RoutingImage = RoutingImage()
 
 
 NO_ROSTER = RosterBody(0, (), ())
@@ -221,13 +231,17 @@
         self._answers = {(a.operator, a.change_number): a for a in image.answers}
         self.audit = list(image.audit)
         self.roster = image.roster
+        self.routing = RoutingState(image.routing)
 
     def snapshot(self) -> bytes:
         """Return the whole state in encoded form."""
         histories = {key: tuple(value) for key, value in self._histories.items()}
         answers = tuple(self._answers.values())
         audit = tuple(self.audit)
-        image = _StateImage(histories, self._documents, answers, audit, self.roster)
+        image = _StateImage(
+            histories, self._documents, answers, audit, self.roster,
+            self.routing.image(),
+        )  # fmt: skip
         return encode(image)
 
     def restore(self, data: bytes) -> None:
@@ -300,6 +314,20 @@
             self.roster = RosterBody(roster.epoch + 1, roster.members, ())
         return self.roster
 
+    @apply.register
+    def _put_routing(self, command: PutRouting, index: int) -> PutRoutingResult:
+        before = self.routing.number
+        result = self.routing.put(command)
+        self._add_audit(
+            command, "routing", "put", before, result.number, command.digest,
+            DONE if result.has_changed else KEPT,
+        )  # fmt: skip
+        return result
+
+    @apply.register
+    def _retire_server(self, command: RetireServer, index: int) -> RetiredServer:
+        return self.routing.retire(command)
+
     @apply.register
     def _change_voters(self, command: ChangeVoters, index: int) -> Voters:
         self._add_audit(command, "control", command.action, 0, 0, "", DONE)
--- a/packages/cardamomrun-fleet/src/cardamomrun_fleet/credentials.py
+++ b/packages/cardamomrun-fleet/src/cardamomrun_fleet/credentials.py
@@ -24,6 +24,8 @@
 
 NONCE_BYTES = 32
 MIN_KEY_BYTES = 16
+# Proves nothing: it keeps the handshake the same where the network is trusted.
+PUBLIC_KEY = b"cardamomrun trusted network"
 # Bounds the memory for replay detection; a replay of an older nonce still fails,
 # because the fresh nonce of the other side makes its proof wrong.
 SEEN_NONCE_COUNT = 4_096
@@ -80,11 +82,22 @@
     mac: bytes
 
 
-def load_fleet_key(path: Path) -> bytes:
+def load_fleet_key(path: Path | None, *, trusts_network: bool = False) -> bytes:
     """Return the key in a file, without surrounding white space.
 
-    Raises `CredentialError` if the file is unreadable or the key is under 16 bytes.
+    Without a file the key is a public one, which `trusts_network` must allow. Raises
+    `CredentialError` if the file is missing or the key is under 16 bytes.
     """
+    if path is None:
+        if trusts_network:
+            log.warning(
+                "peers are accepted without proof: the settings trust the network"
+            )
+            return PUBLIC_KEY
+        raise CredentialError(
+            "the settings name no fleet key.",
+            remedy="set fleet.key_file, or fleet.trusts_network on a closed network",
+        )
     try:
         key = path.read_bytes().strip()
     except OSError as error:
--- a/packages/cardamomrun-fleet/src/cardamomrun_fleet/fleet.py
+++ b/packages/cardamomrun-fleet/src/cardamomrun_fleet/fleet.py
@@ -155,7 +155,8 @@
         Raises `CredentialError` if the key is unusable and `AddressInUseError` if the
         listener cannot be opened.
         """
-        key = load_fleet_key(self._settings.fleet.key_file)
+        fleet = self._settings.fleet
+        key = load_fleet_key(fleet.key_file, trusts_network=fleet.trusts_network)
         self._credentials = Credentials(key, self.instance_id)
         try:
             self._server = await listen(
--- /dev/null
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Requests of a routing document: registration, placement and dispatch."""
--- /dev/null
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/front.py
@@ -0,0 +1,105 @@
+"""The front listener of an instance that runs a routing document."""
+
+import asyncio
+import secrets
+from collections.abc import Callable
+
+from tornado.http1connection import HTTP1Connection
+from tornado.httputil import HTTPHeaders
+
+from cardamomrun_base.clock import Clock
+from cardamomrun_base.headers import GatewayHeaders
+from cardamomrun_base.logs import PartLog
+from cardamomrun_base.settings import GatewaySettings, NodeSettings
+from cardamomrun_gateway.dispatch import Dispatch, DispatchTools
+from cardamomrun_gateway.server_connections import ServerConnections
+from cardamomrun_requests.background import Background
+from cardamomrun_requests.caller_listener import CallerListener
+from cardamomrun_requests.reply import Reply
+from cardamomrun_requests.request import CallerRequest
+
+__all__ = ["GatewayFront"]
+
+# Bodies up to this size are read whole before they are sent, so that they can go to
+# another server after one that did not run them. 60 uploads at once need 60 MB.
+KEPT_BYTES = 1_048_576
+# Documents state shorter times for callers; this one only frees what they left behind.
+IDLE_S = 120.0
+SWEEP_MS = 500
+# Callers may keep an address for three times the time that the directory states.
+KEPT_TTL_FACTOR = 3
+# The rest of the grace time belongs to requests in flight.
+LEAVING_RATIO = 0.55
+FIRST_ID_BYTES = 8
+
+_log = PartLog("front")
+
+
+class GatewayFront:
+    """Accepts callers' requests and runs each in a task of its own."""
+
+    kept_bytes = KEPT_BYTES
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        clock: Clock,
+        names: GatewayHeaders,
+        tools: DispatchTools,
+        connections: ServerConnections,
+    ) -> None:
+        self._settings = settings
+        self._gateway = settings.gateway or GatewaySettings()
+        self._clock = clock
+        self._names = names
+        self._tools = tools
+        self._connections = connections
+        self._listener = CallerListener(settings, self, idle_s=IDLE_S)
+        self._requests = Background()
+        self._sweeper: asyncio.Task[None] | None = None
+        self.leaving = False
+
+    async def start(self) -> None:
+        """Listen on the front address. Raises `AddressInUseError`."""
+        self._listener.open()
+        self._sweeper = asyncio.create_task(self._sweep())
+        _log.info("listening", address=self._settings.front_address)
+
+    async def stop(self) -> None:
+        """Stop gracefully: callers leave, then no request is in flight any more."""
+        self.leaving = True
+        wait_ms = min(
+            KEPT_TTL_FACTOR * self._settings.directory_ttl_ms,
+            LEAVING_RATIO * self._gateway.grace_ms,
+        )
+        _log.info("leaving", wait_ms=wait_ms)
+        await self._clock.sleep_ms(wait_ms)
+        self._listener.refuse_new()
+        await self._requests.wait()
+        await self._listener.wait_closed()
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+        self._connections.close()
+        _log.info("all requests have ended")
+
+    def request_id(self, headers: HTTPHeaders) -> str:
+        """Return the caller's id of the request, or a new one."""
+        return headers.get(self._names.request_id) or secrets.token_hex(FIRST_ID_BYTES)
+
+    def reply(
+        self,
+        connection: HTTP1Connection,
+        request: CallerRequest,
+        close_after: Callable[[], None],
+    ) -> Reply:
+        """Return the answer to a request, not started yet."""
+        return Reply(connection, request, self._settings.instance_id, close_after)
+
+    def begin(self, request: CallerRequest, reply: Reply) -> "asyncio.Task[None]":
+        """Start the task of a request."""
+        return self._requests.spawn(Dispatch(self._tools, request, reply).run())
+
+    async def _sweep(self) -> None:
+        while True:
+            await self._clock.sleep_ms(SWEEP_MS)
+            self._connections.sweep()
--- /dev/null
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/load_reports.py
@@ -0,0 +1,284 @@
+"""Tells the other instances what this one has in work, by datagrams.
+
+A report goes to each instance of the own failure domain, and to one instance of every
+other one, which passes it on in its own. Datagrams may be lost: each holds the whole
+state of its sender, and one is sent at least every `report_idle_ms`.
+"""
+
+import asyncio
+import itertools
+import random
+from collections import deque
+from collections.abc import Iterable
+from typing import Any
+
+import cbor2
+import xxhash
+
+from cardamomrun_base.clock import MS_PER_S, Clock
+from cardamomrun_base.errors import AddressInUseError
+from cardamomrun_base.interfaces import Fleet
+from cardamomrun_base.logs import PartLog
+from cardamomrun_base.model import MemberBody, MemberPhase
+from cardamomrun_base.settings import GatewaySettings, NodeSettings, Role
+from cardamomrun_gateway.fleet_load import (
+    AttemptInWork,
+    EndedAttempt,
+    FleetLoad,
+    InstanceLoad,
+    Server,
+    ServiceCount,
+)
+from cardamomrun_gateway.retry_budget import RetryBudget
+from cardamomrun_gateway.server_health import AttemptEnd
+
+__all__ = ["LoadReports", "decode_load", "encode_load", "service_key"]
+
+# Starts and ends within this time leave in one datagram. Longer, and two instances
+# take the same free slot more often.
+FLUSH_MS = 2.0
+# Ends told again in each report, so that a few lost datagrams lose none.
+TOLD_ENDS_COUNT = 8
+# An end this old has been told several times.
+TOLD_ENDS_MS = 2_000.0
+# Members change over seconds; each report would read all records otherwise.
+TARGETS_MS = 250.0
+PASS_ON = b"\x01"
+DELIVER = b"\x00"
+
+Address = tuple[str, int]
+
+_log = PartLog("load")
+
+
+def service_key(service: str) -> int:
+    """Return the short name of a service in reports."""
+    return xxhash.xxh32_intdigest(service.encode())
+
+
+def encode_load(load: InstanceLoad) -> bytes:
+    """Return the CBOR form of a report; ages and durations in whole milliseconds."""
+    in_work = [[a.server_key, round(a.age_ms)] for a in load.in_work]
+    ended = [
+        [e.sequence, e.server_key, int(e.end), round(e.duration_ms), round(e.age_ms)]
+        for e in load.ended
+    ]
+    counts = [[c.service_key, c.request_count, c.extra_count] for c in load.counts]
+    head = [load.instance_id, load.incarnation, load.sequence]
+    return cbor2.dumps([*head, in_work, ended, counts])
+
+
+def decode_load(data: bytes) -> InstanceLoad:
+    """Return the report in `data`, or raise `ValueError`."""
+    try:
+        instance_id, incarnation, sequence, in_work, ended, counts = cbor2.loads(data)
+        return InstanceLoad(
+            str(instance_id),
+            int(incarnation),
+            int(sequence),
+            tuple(AttemptInWork(int(key), float(age)) for key, age in in_work),
+            tuple(
+                EndedAttempt(
+                    int(seq), int(key), AttemptEnd(end), float(took), float(age)
+                )
+                for seq, key, end, took, age in ended
+            ),
+            tuple(ServiceCount(int(key), int(n), int(more)) for key, n, more in counts),
+        )
+    except (ValueError, TypeError, cbor2.CBORError) as error:
+        raise ValueError(f"not a load report: {error}") from error
+
+
+class LoadReports(asyncio.DatagramProtocol):
+    """Sends and receives load reports on the peer port."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        clock: Clock,
+        fleet: Fleet,
+        load: FleetLoad,
+        budget: RetryBudget,
+        incarnation: int,
+        randomness: random.Random | None = None,
+    ) -> None:
+        self._settings = settings
+        self._gateway = settings.gateway or GatewaySettings()
+        self._clock = clock
+        self._fleet = fleet
+        self._load = load
+        self._budget = budget
+        self._incarnation = incarnation
+        self._random = randomness or random.Random()
+        self._tokens = itertools.count(1)
+        self._sequences = itertools.count(1)
+        self._end_sequences = itertools.count(1)
+        self._in_work: dict[int, tuple[int, float]] = {}
+        self._ended: deque[tuple[int, int, AttemptEnd, float, float]] = deque(
+            maxlen=TOLD_ENDS_COUNT
+        )
+        self._counts: dict[int, list[int]] = {}
+        self._transport: asyncio.DatagramTransport | None = None
+        self._flush_due = False
+        self._near: list[Address] = []
+        self._far: list[list[Address]] = []
+        self._targets_read_ms = float("-inf")
+        self._sent_ms = float("-inf")
+
+    async def start(self) -> None:
+        """Open the port. Raises `AddressInUseError`."""
+        place = (str(self._settings.host), self._settings.peer_port)
+        loop = asyncio.get_running_loop()
+        try:
+            self._transport, _ = await loop.create_datagram_endpoint(
+                lambda: self, local_addr=place
+            )
+        except OSError as error:
+            raise AddressInUseError(
+                f"datagram port {place[1]} of {place[0]} cannot be opened: {error}.",
+                remedy="stop the process that uses it, or change peer_port",
+            ) from error
+
+    def stop(self) -> None:
+        """Close the port."""
+        if self._transport is not None:
+            self._transport.close()
+            self._transport = None
+
+    async def run(self) -> None:
+        """Report at least every `report_idle_ms`, until cancelled."""
+        idle_ms = self._gateway.report_idle_ms
+        while True:
+            self._load.drop_silent()
+            if self._clock.now_ms() - self._sent_ms >= idle_ms / 2:
+                self._flush()
+            await self._clock.sleep_ms(idle_ms * self._random.uniform(0.8, 1.0))
+
+    def request(self, service: str) -> None:
+        """Count a request for a service."""
+        self._count(service, 1, 0)
+
+    def repeat(self, service: str) -> None:
+        """Count a further attempt for a request."""
+        self._count(service, 0, 1)
+
+    def may_repeat(self, service: str) -> bool:
+        """Return True if a further attempt fits the fleet's budget."""
+        return self._budget.may_repeat(service_key(service))
+
+    def started(self, server: Server) -> int:
+        """Count an attempt in work; return the token to end it."""
+        token = next(self._tokens)
+        self._in_work[token] = (server.key, self._clock.now_ms())
+        self._load.started(server)
+        self._flush_soon()
+        return token
+
+    def ended(
+        self, token: int, server: Server, end: AttemptEnd, usual_ms: float
+    ) -> None:
+        """Count the end of an attempt."""
+        key, started_ms = self._in_work.pop(token)
+        self._tell(key, end, started_ms)
+        self._load.ended(server, end, started_ms, usual_ms)
+        self._flush_soon()
+
+    def overdue(self, token: int, server: Server) -> None:
+        """Count an attempt that takes much longer than usual and goes on."""
+        key, started_ms = self._in_work[token]
+        self._tell(key, AttemptEnd.OVERDUE, started_ms)
+        self._load.overdue(server, started_ms)
+        self._flush_soon()
+
+    # asyncio.DatagramProtocol
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        """Merge a report, and pass it on if the sender asks for it."""
+        try:
+            load = decode_load(data[1:])
+        except ValueError as error:
+            _log.warning(f"a datagram was dropped: {error}")
+            return
+        if data[:1] == PASS_ON:
+            self._read_targets()
+            self._send(DELIVER + data[1:], self._near)
+        if load.instance_id != self._settings.instance_id:
+            self._load.take(load)
+            self._budget.take(load)
+
+    def error_received(self, exc: Exception) -> None:
+        """Ignore refused datagrams: a peer that does not listen is found by its links."""
+
+    def _count(self, service: str, requests: int, extras: int) -> None:
+        key = service_key(service)
+        counts = self._counts.setdefault(key, [0, 0])
+        counts[0] += requests
+        counts[1] += extras
+        self._budget.count(key, requests, extras)
+
+    def _tell(self, key: int, end: AttemptEnd, started_ms: float) -> None:
+        now_ms = self._clock.now_ms()
+        sequence = next(self._end_sequences)
+        self._ended.append((sequence, key, end, now_ms - started_ms, now_ms))
+
+    def _flush_soon(self) -> None:
+        if not self._flush_due and self._transport is not None:
+            self._flush_due = True
+            loop = asyncio.get_running_loop()
+            loop.call_later(FLUSH_MS / MS_PER_S, self._flush)
+
+    def _flush(self) -> None:
+        self._flush_due = False
+        self._sent_ms = self._clock.now_ms()
+        self._read_targets()
+        body = encode_load(self._own_load())
+        self._send(DELIVER + body, self._near)
+        chosen = [self._random.choice(addresses) for addresses in self._far]
+        self._send(PASS_ON + body, chosen)
+
+    def _own_load(self) -> InstanceLoad:
+        now_ms = self._clock.now_ms()
+        while self._ended and now_ms - self._ended[0][-1] > TOLD_ENDS_MS:
+            self._ended.popleft()
+        return InstanceLoad(
+            self._settings.instance_id,
+            self._incarnation,
+            next(self._sequences),
+            tuple(
+                AttemptInWork(key, now_ms - started_ms)
+                for key, started_ms in self._in_work.values()
+            ),
+            tuple(
+                EndedAttempt(sequence, key, end, duration_ms, now_ms - ended_ms)
+                for sequence, key, end, duration_ms, ended_ms in self._ended
+            ),
+            tuple(ServiceCount(key, *counts) for key, counts in self._counts.items()),
+        )
+
+    def _send(self, data: bytes, addresses: Iterable[Address]) -> None:
+        if self._transport is None or self._transport.is_closing():
+            return
+        for address in addresses:
+            self._transport.sendto(data, address)
+
+    def _read_targets(self) -> None:
+        now_ms = self._clock.now_ms()
+        if now_ms - self._targets_read_ms < TARGETS_MS:
+            return
+        self._targets_read_ms = now_ms
+        by_domain: dict[str, list[Address]] = {}
+        for member in self._fleet.members():
+            if _takes_reports(member) and member.instance_id != self._fleet.instance_id:
+                address = _address(member.peer_address)
+                by_domain.setdefault(member.failure_domain, []).append(address)
+        self._near = by_domain.pop(self._settings.failure_domain, [])
+        self._far = list(by_domain.values())
+
+
+def _takes_reports(member: MemberBody) -> bool:
+    return Role.ENTRY in member.roles and member.phase is not MemberPhase.GONE
+
+
+def _address(peer_address: str) -> Address:
+    host, _, port = peer_address.rpartition(":")
+    return host.strip("[]"), int(port)
--- /dev/null
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/metrics.py
@@ -0,0 +1,43 @@
+"""Metrics of requests that a routing document routes; labels are bounded."""
+
+from prometheus_client import Counter, Histogram
+
+__all__ = [
+    "ADDED_SECONDS",
+    "ATTEMPTS",
+    "CONNECTIONS",
+    "REFUSALS",
+    "REQUESTS",
+    "REQUEST_SECONDS",
+]
+
+REQUESTS = Counter(
+    "cardamomrun_routed_requests",
+    "Requests by the outcome that the caller was told.",
+    ("service", "outcome"),
+)
+REQUEST_SECONDS = Histogram(
+    "cardamomrun_routed_request_seconds",
+    "Time from the request head to the end of the answer.",
+    ("service", "outcome"),
+)
+ADDED_SECONDS = Histogram(
+    "cardamomrun_routed_added_seconds",
+    "Wait of requests for a backend server to be chosen.",
+    ("service",),
+)
+ATTEMPTS = Counter(
+    "cardamomrun_routed_attempts",
+    "Attempts at backend servers by how they ended.",
+    ("service", "end"),
+)
+REFUSALS = Counter(
+    "cardamomrun_routed_refusals",
+    "Requests that were refused without an attempt that ran, by reason.",
+    ("service", "reason"),
+)
+CONNECTIONS = Counter(
+    "cardamomrun_routed_connections",
+    "Connections opened to backend servers.",
+    ("service",),
+)
--- /dev/null
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/placement.py
@@ -0,0 +1,158 @@
+"""Chooses the backend server of an attempt, by what all instances know of it."""
+
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import IntEnum
+
+from cardamomrun_base.clock import Clock
+from cardamomrun_base.model import ServerId
+from cardamomrun_gateway.fleet_load import FleetLoad, Server
+
+__all__ = ["Choice", "Placement", "Reason", "Wish"]
+
+# A full server is slower than an empty one by this share.
+FULLNESS_RATIO = 0.3
+# Warming up takes about twice the usual time.
+WARM_UP_FACTOR = 2.0
+# Bytes between failure domains are scarce; a request waits this much longer at a
+# server of its own, and an upload more, as it carries most of the bytes.
+DOMAIN_COST_MS = 25.0
+UPLOAD_DOMAIN_COST_MS = 250.0
+# A server that has not shown for a while that it accepts requests may have begun to
+# reset them. A request that may run once prefers proven servers; one that may be
+# repeated prefers the others, and so proves them.
+STALE_COST_RATIO = 0.08
+STALE_GAIN_RATIO = 0.04
+STALE_LIMIT_MS = 2_000.0
+# A service that no idempotent request reaches gets its trials from other requests,
+# which are lost if the trial fails: after this time, and then in longer steps.
+COSTLY_TRIAL_MS = 6_000.0
+# Requests that a server may hold beyond its slots, by rank: the most urgent wait at
+# the server rather than being refused.
+QUEUE_RATIOS = (0.5, 0.5, 0.25)
+
+
+class Reason(IntEnum):
+    """Why a server was chosen."""
+
+    BEST = 0
+    TRIAL = 1
+    QUEUED = 2
+
+
+@dataclass(frozen=True)
+class Wish:
+    """What a request needs from its server."""
+
+    service: str
+    is_idempotent: bool
+    is_upload: bool
+    rank: int
+    usual_ms: float
+    may_try: bool
+    has_idempotent_peers: bool
+    excluded: frozenset[ServerId] = frozenset()
+
+
+@dataclass(frozen=True)
+class Choice:
+    """The server of an attempt and why it was chosen."""
+
+    server: Server
+    reason: Reason
+
+
+class Placement:
+    """Chooses servers for the requests of one instance."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        load: FleetLoad,
+        failure_domain: str,
+        randomness: random.Random | None = None,
+    ) -> None:
+        self._clock = clock
+        self._load = load
+        self._failure_domain = failure_domain
+        self._random = randomness or random.Random()
+
+    def choose(self, wish: Wish) -> Choice | None:
+        """Return the server for an attempt, or None if all are full or in doubt."""
+        now_ms = self._clock.now_ms()
+        servers = [
+            server
+            for server in self._load.of_service(wish.service)
+            if server.body.server_id not in wish.excluded
+            and server.blocked_until_ms <= now_ms
+        ]
+        trial = self._trial(servers, wish, now_ms)
+        if trial is not None:
+            return Choice(trial, Reason.TRIAL)
+        trusted = [server for server in servers if not server.health.is_doubted]
+        free = [s for s in trusted if s.in_work_count < s.body.slots]
+        if free:
+            return Choice(self._best(free, wish, now_ms), Reason.BEST)
+        ratio = QUEUE_RATIOS[min(wish.rank, len(QUEUE_RATIOS) - 1)]
+        with_room = [s for s in trusted if s.in_work_count < s.body.slots * (1 + ratio)]
+        if with_room:
+            return Choice(self._best(with_room, wish, now_ms), Reason.QUEUED)
+        return None
+
+    def has_servers(self, service: str) -> bool:
+        """Return True if any server of a service takes new work."""
+        return any(True for _ in self._load.of_service(service))
+
+    def _trial(
+        self, servers: Iterable[Server], wish: Wish, now_ms: float
+    ) -> Server | None:
+        """Return a server in doubt that this request may try."""
+        if not wish.may_try:
+            return None
+        due = [
+            server
+            for server in servers
+            if server.health.is_doubted
+            and server.in_work_count == 0
+            and self._is_trial_due(server, wish, now_ms)
+        ]
+        if not due:
+            return None
+        return min(due, key=lambda server: server.health.trial_due_ms)
+
+    def _is_trial_due(self, server: Server, wish: Wish, now_ms: float) -> bool:
+        health = server.health
+        if wish.is_idempotent:
+            return now_ms >= health.trial_due_ms
+        if wish.has_idempotent_peers:
+            return False
+        # The pause grows with failed trials and is scaled to their higher cost.
+        pauses = health.trial_pause_ms / 400.0
+        if health.good_streak:
+            return now_ms >= health.trial_due_ms
+        return now_ms >= health.trial_due_ms + COSTLY_TRIAL_MS * pauses
+
+    def _best(self, servers: list[Server], wish: Wish, now_ms: float) -> Server:
+        # Equal servers must not all be taken in the order of their names.
+        self._random.shuffle(servers)
+        return min(servers, key=lambda server: self._cost_ms(server, wish, now_ms))
+
+    def _cost_ms(self, server: Server, wish: Wish, now_ms: float) -> float:
+        """Return the expected time of an attempt, with what else it may cost."""
+        slots = server.body.slots
+        work_ms = wish.usual_ms * server.slowness
+        if server.is_warming_up(now_ms):
+            work_ms *= WARM_UP_FACTOR
+        taken = server.in_work_count / slots
+        cost_ms = work_ms * (1 + FULLNESS_RATIO * taken)
+        queued = max(0, server.in_work_count + 1 - slots)
+        cost_ms += work_ms * queued / slots
+        stale_ms = min(STALE_LIMIT_MS, now_ms - server.health.proven_ms)
+        if wish.is_idempotent:
+            cost_ms -= stale_ms * STALE_GAIN_RATIO
+        else:
+            cost_ms += stale_ms * STALE_COST_RATIO
+        if server.body.failure_domain != self._failure_domain:
+            cost_ms += UPLOAD_DOMAIN_COST_MS if wish.is_upload else DOMAIN_COST_MS
+        return cost_ms
--- /dev/null
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/table.py
@@ -0,0 +1,134 @@
+"""The routing document in force on this instance."""
+
+import random
+from collections.abc import Iterator
+
+from cardamomrun_base.errors import CardamomrunError
+from cardamomrun_base.interfaces import RecordStore
+from cardamomrun_base.logs import PartLog
+from cardamomrun_base.model import Kind, Record, RoutingBody
+from cardamomrun_base.routing_document import (
+    RoutingDocument,
+    RoutingRoute,
+    unpack_routing,
+)
+
+__all__ = ["RoutingTable", "WeightedTurns"]
+
+# Consecutive multiples of the golden ratio are spread evenly over [0, 1), so that a
+# few requests already follow the weights.
+GOLDEN_RATIO = 0.618_033_988_749_895
+
+_log = PartLog("routing")
+
+
+class WeightedTurns:
+    """Divides the requests of a route among its services by weight."""
+
+    def __init__(self, route: RoutingRoute, offset: float) -> None:
+        self._parts = [part for part in route.split if part.weight > 0]
+        self._total = sum(part.weight for part in self._parts)
+        self._position = offset
+
+    def next(self) -> str:
+        """Return the service of the next request."""
+        self._position = (self._position + GOLDEN_RATIO) % 1.0
+        place = self._position * self._total
+        for part in self._parts:
+            place -= part.weight
+            if place < 0:
+                return part.service
+        return self._parts[-1].service
+
+
+class RoutingTable:
+    """Finds the route of a request in the document with the highest number.
+
+    `idempotent_services` names the services that idempotent requests can reach.
+    """
+
+    def __init__(
+        self, store: RecordStore, randomness: random.Random | None = None
+    ) -> None:
+        self._random = randomness or random.Random()
+        self.document: RoutingDocument | None = None
+        self.idempotent_services: frozenset[str] = frozenset()
+        self._routes: dict[str, dict[str, RoutingRoute]] = {}
+        self._turns: dict[str, WeightedTurns] = {}
+        store.subscribe(Kind.ROUTING, self._put_in_force)
+        for record in store.all(Kind.ROUTING):
+            self._put_in_force(record)
+
+    @property
+    def number(self) -> int:
+        """The number of the document in force; -1 if there is none."""
+        return -1 if self.document is None else self.document.number
+
+    def match(self, host: str, path: str) -> RoutingRoute | None:
+        """Return the route with the longest prefix of the path among those of a host.
+
+        A host is compared without port and case.
+        """
+        routes = self._routes.get(_host_name(host))
+        if routes is None:
+            return None
+        for prefix in _prefixes(path):
+            route = routes.get(prefix)
+            if route is not None:
+                return route
+        return None
+
+    def choose_service(self, route: RoutingRoute) -> str:
+        """Return the service of the next request of a route."""
+        if len(route.split) == 1:
+            return route.split[0].service
+        turns = self._turns.get(route.name)
+        if turns is None:
+            turns = WeightedTurns(route, self._random.random())
+            self._turns[route.name] = turns
+        return turns.next()
+
+    def _put_in_force(self, record: Record) -> None:
+        body: RoutingBody = record.content
+        if body.number <= self.number:
+            return
+        try:
+            document = unpack_routing(body.packed)
+        except CardamomrunError as error:
+            _log.error(f"keeps document {self.number}: {error}", number=body.number)
+            return
+        routes: dict[str, dict[str, RoutingRoute]] = {}
+        for route in document.routes:
+            routes.setdefault(_host_name(route.host), {})[route.prefix] = route
+        self.document = document
+        self.idempotent_services = frozenset(
+            part.service
+            for route in document.routes
+            if route.is_idempotent
+            for part in route.split
+            if part.weight > 0
+        )
+        self._routes = routes
+        self._turns = {}
+        _log.info(
+            "a routing document is in force",
+            number=document.number,
+            route_count=len(document.routes),
+        )
+
+
+def _host_name(host: str) -> str:
+    name, _, port = host.rpartition(":")
+    return (name if name and port.isdigit() else host).lower()
+
+
+def _prefixes(path: str) -> Iterator[str]:
+    """Yield the prefixes of a path that end with a slash, the longest first.
+
+    >>> list(_prefixes("/a/b"))
+    ['/a/', '/']
+    """
+    end = path.rfind("/")
+    while end >= 0:
+        yield path[: end + 1]
+        end = path.rfind("/", 0, end)
--- /dev/null
+++ b/packages/cardamomrun-node/src/cardamomrun_node/gateway_node.py
@@ -0,0 +1,115 @@
+"""A node that runs a routing document: the parts of its roles, started in order."""
+
+import asyncio
+from contextlib import AsyncExitStack
+
+from cardamomrun_base.clock import Clock
+from cardamomrun_base.headers import GatewayHeaders
+from cardamomrun_base.logs import PartLog
+from cardamomrun_base.model import MemberPhase
+from cardamomrun_base.settings import GatewaySettings, NodeSettings, Role
+from cardamomrun_control.routing_service import RoutingControl
+from cardamomrun_fleet.fleet import Fleet
+from cardamomrun_gateway.address_book import AddressBook
+from cardamomrun_gateway.dispatch import DispatchTools
+from cardamomrun_gateway.fleet_load import FleetLoad
+from cardamomrun_gateway.front import GatewayFront
+from cardamomrun_gateway.load_reports import LoadReports
+from cardamomrun_gateway.placement import Placement
+from cardamomrun_gateway.retry_budget import RetryBudget
+from cardamomrun_gateway.routed_request import RouteTimes
+from cardamomrun_gateway.server_attempt import AttemptTools
+from cardamomrun_gateway.server_connections import ServerConnections
+from cardamomrun_gateway.server_registry import ServerRegistry
+from cardamomrun_gateway.table import RoutingTable
+from cardamomrun_node.parts import PartLoop, cancel, keep_running
+
+__all__ = ["GatewayNode"]
+
+_log = PartLog("node")
+
+
+class GatewayNode:
+    """One process of a fleet that runs a routing document.
+
+    `control` and `registry` are set on control instances, `addresses` on entry ones.
+    """
+
+    def __init__(
+        self, settings: NodeSettings, clock: Clock, names: GatewayHeaders
+    ) -> None:
+        self._settings = settings
+        self._gateway = settings.gateway or GatewaySettings()
+        self._clock = clock
+        self._names = names
+        self.fleet = Fleet(settings, clock)
+        self.table = RoutingTable(self.fleet.store)
+        self.control: RoutingControl | None = None
+        self.registry: ServerRegistry | None = None
+        self.addresses: AddressBook | None = None
+        self._load = FleetLoad(clock, self.fleet.store)
+        self._front: GatewayFront | None = None
+        self._stack = AsyncExitStack()
+        if Role.CONTROL in settings.roles:
+            self.control = RoutingControl(settings, clock, self.fleet)
+            self.registry = ServerRegistry(clock, self.fleet, self.control)
+        if Role.ENTRY in settings.roles:
+            self.addresses = AddressBook(settings, clock, self.fleet, self._load)
+
+    @property
+    def is_ready(self) -> bool:
+        """True while callers may be sent to this instance."""
+        return (
+            self._front is not None
+            and not self._front.leaving
+            and self.table.document is not None
+        )
+
+    async def start(self) -> None:
+        """Start all parts; on a failure, stop those that were started."""
+        async with AsyncExitStack() as stack:
+            await self.fleet.start()
+            stack.push_async_callback(self.fleet.stop)
+            if self.control is not None:
+                await self._start_control(self.control, stack)
+            if Role.ENTRY in self._settings.roles:
+                await self._start_entry(stack)
+            self._stack = stack.pop_all()
+        self.fleet.set_phase(MemberPhase.SERVING)
+        _log.info(f"serves as {', '.join(self._settings.roles)}")
+
+    async def stop(self) -> None:
+        """Leave the directory, finish requests in flight, and close everything."""
+        _log.info("leaves the directory and finishes requests in flight")
+        self.fleet.set_phase(MemberPhase.LEAVING)
+        await self._stack.aclose()
+
+    async def _start_control(
+        self, control: RoutingControl, stack: AsyncExitStack
+    ) -> None:
+        await control.start()
+        stack.push_async_callback(control.stop)
+        assert self.registry is not None
+        self._run(self.registry.run, stack)
+
+    async def _start_entry(self, stack: AsyncExitStack) -> None:
+        settings, clock, load = self._settings, self._clock, self._load
+        budget = RetryBudget(self._gateway, clock)
+        incarnation = self.fleet.start_incarnation
+        reports = LoadReports(settings, clock, self.fleet, load, budget, incarnation)
+        await reports.start()
+        stack.callback(reports.stop)
+        self._run(reports.run, stack)
+        connections = ServerConnections(self._gateway, clock, load)
+        attempt_tools = AttemptTools(
+            clock, self._names, connections, reports, RouteTimes()
+        )
+        placement = Placement(clock, load, settings.failure_domain)
+        tools = DispatchTools(attempt_tools, self.table, load, placement)
+        self._front = GatewayFront(settings, clock, self._names, tools, connections)
+        await self._front.start()
+        stack.push_async_callback(self._front.stop)
+
+    def _run(self, loop: PartLoop, stack: AsyncExitStack) -> None:
+        task = asyncio.get_running_loop().create_task(keep_running(loop, self._clock))
+        stack.push_async_callback(cancel, task)
--- a/packages/cardamomrun-node/src/cardamomrun_node/node.py
+++ b/packages/cardamomrun-node/src/cardamomrun_node/node.py
@@ -1,8 +1,7 @@
 """A node: the parts that its roles need, started and stopped in order."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
-from contextlib import AsyncExitStack, suppress
+from contextlib import AsyncExitStack
 
 from tornado.web import URLSpec
 
@@ -21,6 +20,7 @@
 from cardamomrun_node.admin import AdminListener, MetricsHandler, StatusHandler
 from cardamomrun_node.environments import LiveEnvironments
 from cardamomrun_node.in_force import InForceHandler
+from cardamomrun_node.parts import PartLoop, cancel, keep_running
 from cardamomrun_requests.claims import QuorumClaims
 from cardamomrun_requests.front_door import FrontDoor
 from cardamomrun_requests.keeper import Keeper
@@ -28,10 +28,6 @@
 
 __all__ = ["Node"]
 
-RESTART_PAUSE_MS = 1_000
-
-PartLoop = Callable[[], Awaitable[None]]
-
 _log = PartLog("node")
 
 
@@ -126,6 +122,7 @@
             CrashQuarantine(settings, clock, fleet, self.backends),
             Directory(settings, clock, fleet),
         )
+        assert settings.announcement_tokens_file is not None
         tokens = AnnouncementTokens(settings.announcement_tokens_file)
         self._routes += announcement_routes(registry, self.backends, tokens)
         self._run(registry.run, stack)
@@ -149,21 +146,5 @@
         ]
 
     def _run(self, loop: PartLoop, stack: AsyncExitStack) -> None:
-        task = asyncio.get_running_loop().create_task(self._keep_running(loop))
-        stack.push_async_callback(_cancel, task)
-
-    async def _keep_running(self, loop: PartLoop) -> None:
-        """Run a part's loop; a fault in it is logged and does not end the part."""
-        while True:
-            try:
-                await loop()
-                return
-            except Exception as error:
-                _log.error(f"a part failed and is run again: {error!r}")
-                await self._clock.sleep_ms(RESTART_PAUSE_MS)
-
-
-async def _cancel(task: asyncio.Task[None]) -> None:
-    task.cancel()
-    with suppress(asyncio.CancelledError):
-        await task
+        task = asyncio.get_running_loop().create_task(keep_running(loop, self._clock))
+        stack.push_async_callback(cancel, task)
--- a/packages/cardamomrun-requests/src/cardamomrun_requests/request.py
+++ b/packages/cardamomrun-requests/src/cardamomrun_requests/request.py
@@ -22,12 +22,15 @@
 
 
 class RequestBody:
-    """The body of a request; its first 64 KB are kept until more of it was sent.
+    """The body of a request; its first part is kept until more of it was sent.
 
     `length` is the length in bytes, or None while it is not known.
     """
 
-    def __init__(self, channel: BodyChannel, length: int | None) -> None:
+    def __init__(
+        self, channel: BodyChannel, length: int | None, kept_bytes: int = KEPT_BYTES
+    ) -> None:
+        self._kept_bytes = kept_bytes
         self.length = length
         self.max_bytes = 0
         self._channel = channel
@@ -38,7 +41,7 @@
 
     @property
     def prefix(self) -> bytes:
-        """The first 64 KB, once `read_prefix` has returned."""
+        """The first `kept_bytes`, once `read_prefix` has returned."""
         return self._prefix
 
     @property
@@ -47,18 +50,18 @@
         return self._resendable
 
     async def read_prefix(self) -> None:
-        """Read up to the end or the first 64 KB, whichever comes first."""
+        """Read up to the end or the first `kept_bytes`, whichever comes first."""
         if self.length is not None and self.length > self.max_bytes:
             raise BodyTooLargeError
         kept = bytearray()
-        while len(kept) < KEPT_BYTES:
+        while len(kept) < self._kept_bytes:
             chunk = await self._next_chunk()
             if chunk is None:
                 self.length = len(kept)
                 break
             kept += chunk
         self._kept = bytes(kept)
-        self._prefix = self._kept[:KEPT_BYTES]
+        self._prefix = self._kept[: self._kept_bytes]
 
     def first(self) -> bytes:
         """Return the part that was read ahead, to be sent with the head."""
--- a/packages/cardamomrun-requests/src/cardamomrun_requests/upstream.py
+++ b/packages/cardamomrun-requests/src/cardamomrun_requests/upstream.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+from dataclasses import dataclass
 
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 from tornado.httputil import (
@@ -13,14 +14,22 @@
 )
 from tornado.iostream import IOStream, StreamClosedError, UnsatisfiableReadError
 
-from cardamomrun_base.clock import Clock
+from cardamomrun_base.clock import MS_PER_S, Clock
 from cardamomrun_base.interfaces import Backends
 from cardamomrun_base.model import BackendBody
 from cardamomrun_requests.body_channel import BodyChannel
 from cardamomrun_requests.framing import body_length, without_body
 from cardamomrun_requests.metrics import UPSTREAM_CONNECTIONS
 
-__all__ = ["Answer", "ConnectError", "UpstreamConnection", "UpstreamPools"]
+__all__ = [
+    "Answer",
+    "ConnectError",
+    "ConnectRefusedError",
+    "Identity",
+    "UpstreamConnection",
+    "UpstreamPools",
+    "open_stream",
+]
 
 CHUNK_BYTES = 65_536
 MAX_HEAD_BYTES = 65_536
@@ -29,7 +38,9 @@
 # Section 4.7 of the design: an older idle connection may have gone silent.
 FRESH_IDLE_MS = 5_000
 MAX_IDLE_MS = 30_000
-CONNECT_TIMEOUT_S = 1.0
+CONNECT_TIMEOUT_MS = 1_000
+# A peer without power acknowledges nothing; the kernel gives up after this time.
+UNACKNOWLEDGED_MS = 3_000
 
 _PARAMETERS = HTTP1ConnectionParameters(
     chunk_size=CHUNK_BYTES,
@@ -42,6 +53,18 @@
     """No connection was opened; no byte of a request left."""
 
 
+class ConnectRefusedError(ConnectError):
+    """The server's machine answers and nothing listens at the address."""
+
+
+@dataclass(frozen=True)
+class Identity:
+    """A header that the server echoes, by which an answer is told from a late one."""
+
+    header: str
+    value: str
+
+
 class Answer(HTTPMessageDelegate):
     """The answer to one request while it arrives.
 
@@ -49,9 +72,13 @@
     ended, or sent something malformed, before a whole head.
     """
 
-    def __init__(self, method: str, stream: IOStream) -> None:
+    def __init__(
+        self, method: str, stream: IOStream, identity: Identity | None = None
+    ) -> None:
         self._method = method
         self._stream = stream
+        self._identity = identity
+        self.is_foreign = False
         self.head: asyncio.Future[tuple[ResponseStartLine, HTTPHeaders] | None]
         self.head = asyncio.get_running_loop().create_future()
         self.body = BodyChannel()
@@ -68,6 +95,9 @@
         length = body_length(headers)
         if start_line.code < 200:
             return
+        self.is_foreign = self._answers_another(headers)
+        if self.is_foreign:
+            return
         bodiless = without_body(self._method, start_line.code)
         chunked = "Transfer-Encoding" in headers
         if start_line.code == 204 and (chunked or length):
@@ -82,9 +112,12 @@
             self.head.set_result((start_line, headers))
 
     async def data_received(self, chunk: bytes) -> None:
-        await self.body.put(chunk)
+        if not self.is_foreign:
+            await self.body.put(chunk)
 
     def finish(self) -> None:
+        if self.is_foreign:
+            return
         # A reset also ends a body without declared length, but not properly.
         reset = self.until_close and self._stream.error is not None
         self.body.end(whole=not reset)
@@ -94,6 +127,12 @@
         if not self.head.done():
             self.head.set_result(None)
 
+    def _answers_another(self, headers: HTTPHeaders) -> bool:
+        if self._identity is None:
+            return False
+        echoed = headers.get(self._identity.header)
+        return echoed is not None and echoed != self._identity.value
+
 
 class _Stream(IOStream):
     """A stream that can tell whether bytes or the end of stream wait unread."""
@@ -113,8 +152,7 @@
 class UpstreamConnection:
     """One connection to a backend server, for one request at a time."""
 
-    def __init__(self, server: BackendBody, stream: _Stream) -> None:
-        self.server = server
+    def __init__(self, stream: _Stream) -> None:
         self.pool: _ServerPool | None = None
         self.reused = False
         self.idle_since_ms = 0.0
@@ -125,16 +163,22 @@
         self._request_finished = False
 
     def start(
-        self, method: str, target: str, headers: HTTPHeaders, chunk: bytes
+        self,
+        method: str,
+        target: str,
+        headers: HTTPHeaders,
+        chunk: bytes,
+        identity: Identity | None = None,
     ) -> Answer:
         """Send the head and first chunk of a request and begin to read the answer.
 
-        From here on bytes may have reached the server.
+        From here on bytes may have reached the server. Answers that echo another
+        value of `identity` are late ones to earlier requests and are skipped.
         """
         self._request_finished = False
         self._stream.set_nodelay(True)
         self._http = HTTP1Connection(self._stream, True, _PARAMETERS)
-        self.answer = Answer(method, self._stream)
+        self.answer = Answer(method, self._stream, identity)
         start_line = RequestStartLine(method, target, "HTTP/1.1")
         self._http.write_headers(start_line, headers, chunk or None)
         self._reader = asyncio.create_task(self._read(self._http, self.answer))
@@ -182,6 +226,10 @@
     async def _read(self, http: HTTP1Connection, answer: Answer) -> None:
         try:
             await http.read_response(answer)
+            while answer.is_foreign and not self._stream.closed():
+                answer.is_foreign = False
+                http = HTTP1Connection(self._stream, True, _PARAMETERS)
+                await http.read_response(answer)
             # tornado reports a malformed message by closing and returning.
             answer.malformed = not answer.head.done() or answer.head.result() is None
         except StreamClosedError:
@@ -299,21 +347,33 @@
 
 async def open_connection(server: BackendBody) -> UpstreamConnection:
     """Connect to a server. Raises `ConnectError`."""
-    host, _, port = server.address.rpartition(":")
+    stream = await open_stream(server.address, CONNECT_TIMEOUT_MS)
+    UPSTREAM_CONNECTIONS.labels(server.environment).inc()
+    return UpstreamConnection(stream)
+
+
+async def open_stream(address: str, timeout_ms: float) -> _Stream:
+    """Connect to `host:port`. Raises `ConnectError`."""
+    host, _, port = address.rpartition(":")
     host = host.strip("[]")
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
     stream = _Stream(socket.socket(family), read_chunk_size=CHUNK_BYTES)
+    stream.socket.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS
+    )
     try:
-        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+        async with asyncio.timeout(timeout_ms / MS_PER_S):
             await stream.connect((host, int(port)))
     except BaseException as error:
+        cause = stream.error or error
         stream.close()
+        if isinstance(cause, ConnectionRefusedError):
+            raise ConnectRefusedError(str(cause)) from error
         # TimeoutError is an OSError.
         if isinstance(error, (StreamClosedError, OSError)):
-            raise ConnectError(str(stream.error or error)) from error
+            raise ConnectError(str(cause)) from error
         raise
-    UPSTREAM_CONNECTIONS.labels(server.environment).inc()
-    return UpstreamConnection(server, stream)
+    return stream
 
 
 def _key(server: BackendBody) -> tuple[str, str]:
