--- a/packages/cardamomrun-base/src/cardamomrun_base/logs.py
+++ b/packages/cardamomrun-base/src/cardamomrun_base/logs.py
@@ -1,10 +1,13 @@
 """Logs through eliot: one JSON object a line, with the part and the request id."""
 
+import json
 import sys
 from typing import Any, TextIO
 
-from eliot import FileDestination, add_global_fields, log_message
 from eliot import add_destinations as _add_destinations
+from eliot import add_global_fields, log_message
+
+from cardamomrun_base.log_stream import LogStream
 
 __all__ = ["PartLog", "start_logs"]
 
@@ -35,6 +38,17 @@
 
 
 def start_logs(instance_id: str, stream: TextIO = sys.stderr) -> None:
-    """Send all log entries of this process to `stream`, each with the instance id."""
+    """Send all log entries of this process to `stream`, each with the instance id.
+
+    Lines are bounded in number, and a reader that stops reading blocks nothing.
+    """
     add_global_fields(instance_id=instance_id)
-    _add_destinations(FileDestination(file=stream))
+    lines = LogStream(stream.fileno())
+    _add_destinations(lambda entry: lines.write(_encode(entry)))
+
+
+def _encode(entry: dict[str, Any]) -> bytes:
+    # Identifiers of eliot's own for actions, of which this project logs none.
+    for name in ("task_uuid", "task_level"):
+        entry.pop(name, None)
+    return json.dumps(entry, default=str, separators=(",", ":")).encode()
--- a/packages/cardamomrun-control/src/cardamomrun_control/lease.py
+++ b/packages/cardamomrun-control/src/cardamomrun_control/lease.py
@@ -10,6 +10,8 @@
 # The lease ends before the earliest election of another leader by this margin, which
 # allows for clocks that run at different rates (design page, section 4.3).
 LEASE_RATIO = 0.8
+# An election may follow a lost leader; contact ends after it should have.
+CONTACT_RATIO = 2.0
 
 _log = PartLog("control")
 
@@ -22,6 +24,14 @@
         self._check_quorum()
         return self.is_leader and self._clock.now_ms() < self._lease_until_ms
 
+    def is_in_contact(self) -> bool:
+        """Return True while this replica leads a majority or hears who does."""
+        if self.holds_lease():
+            return True
+        silent_ms = self._clock.now_ms() - self._heard_ms
+        heard = silent_ms < self._settings.election_timeout_ms * CONTACT_RATIO
+        return heard and self._leader_id is not None
+
     def lease_held_since_ms(self) -> float:
         """Return when this instance's current leader lease began, monotonic ms."""
         return self._lease_since_ms
--- a/packages/cardamomrun-control/src/cardamomrun_control/routing_service.py
+++ b/packages/cardamomrun-control/src/cardamomrun_control/routing_service.py
@@ -192,6 +192,10 @@
         held = self._state.routing.retired(server_id)
         return held is not None and held.incarnation >= incarnation
 
+    def is_in_contact(self) -> bool:
+        """Return True while this instance leads or hears the leader."""
+        return self.agreement.is_in_contact()
+
     async def _propose(self, command: Any) -> Any:
         if self.agreement.is_leader:
             return await self._propose_here(command)
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/dispatch.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/dispatch.py
@@ -11,6 +11,7 @@
 from cardamomrun_base.outcomes import NotRun, Outcome, Unknown
 from cardamomrun_base.routing_document import RoutingRoute
 from cardamomrun_gateway import metrics
+from cardamomrun_gateway.crash_guard import CrashGuard
 from cardamomrun_gateway.fleet_load import FleetLoad
 from cardamomrun_gateway.placement import Choice, Placement, Reason, Wish
 from cardamomrun_gateway.routed_request import RoutedRequest
@@ -23,6 +24,7 @@
     ServerAttempt,
 )
 from cardamomrun_gateway.table import RoutingTable
+from cardamomrun_requests.background import Background
 from cardamomrun_requests.body_channel import BodyCutError
 from cardamomrun_requests.framing import without_body
 from cardamomrun_requests.reply import Reply
@@ -52,6 +54,8 @@
     table: RoutingTable
     load: FleetLoad
     placement: Placement
+    crash_guard: CrashGuard
+    background: Background
 
 
 class _EndedError(Exception):
@@ -80,6 +84,7 @@
         self._not_run_count = 0
         self._maybe_run = False
         self._last: NotSent | Lost | None = None
+        self._fingerprint = ""
 
     async def run(self) -> None:
         """Answer the request; a cancellation means that the caller left."""
@@ -102,6 +107,7 @@
             left_s = (routed.left_ms(self._clock) + LAST_ANSWER_MS) / MS_PER_S
             async with asyncio.timeout(left_s):
                 await self._request.body.read_prefix()
+                self._check_crashes()
                 answered = await self._attempts(routed)
                 await self._pass_on(answered)
         except _EndedError as ended:
@@ -137,6 +143,13 @@
             request, route, self._service, document.number, arrived_ms, ends_ms
         )
 
+    def _check_crashes(self) -> None:
+        request = self._request
+        self._fingerprint = request.fingerprint(self._service, request.remote_ip)
+        if self._tools.crash_guard.is_stopped(self._fingerprint):
+            metrics.REFUSALS.labels(self._service, "crashes").inc()
+            raise _refused("crashes", "Backend servers died of this request.", 60.0)
+
     def _allowed_ms(self, route: RoutingRoute) -> float:
         given = self._request.headers.get(self._tools.attempt.names.deadline_ms, "")
         try:
@@ -195,6 +208,11 @@
         self._last = result
         if isinstance(result, Lost):
             self._maybe_run = True
+            if result.has_no_answer:
+                guard = self._tools.crash_guard
+                self._tools.background.spawn(
+                    guard.examine(attempt.server, self._fingerprint)
+                )
         elif not attempt.may_have_run:
             self._not_run_count += 1
 
@@ -297,6 +315,9 @@
         held_since_ms = self._clock.now_ms()
         limit_ms = routed.route.objective_ms * HOLD_RATIO
         while True:
+            if routed.left_ms(self._clock) <= 0:
+                # Also after a suspension, which the loop's own timers do not count.
+                raise TimeoutError
             choice = self._tools.placement.choose(self._wish(routed, may_try=may_try))
             held_ms = self._clock.now_ms() - held_since_ms
             if choice is not None:
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/fleet_load.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/fleet_load.py
@@ -36,6 +36,8 @@
 
 # An instance whose reports stop has stopped, or is cut off; its attempts end soon.
 SILENT_INSTANCE_MS = 1_500
+# A process that was killed takes longer than this to report again.
+RESTART_MS = 500.0
 # A server resets a request within a few milliseconds; an attempt that is older has
 # been accepted.
 ACCEPTED_MS = 15.0
@@ -163,8 +165,7 @@
         """Merge the report of another instance; an old one is dropped."""
         now_ms = self._clock.now_ms()
         peer = self._peers.get(load.instance_id)
-        known = (-1, -1) if peer is None else (peer.incarnation, peer.sequence)
-        if (load.incarnation, load.sequence) <= known:
+        if peer is not None and not _follows(load, peer, now_ms):
             return
         if peer is None or peer.incarnation != load.incarnation:
             last_end = min((end.sequence for end in load.ended), default=1) - 1
@@ -321,6 +322,16 @@
         )
 
 
+def _follows(load: InstanceLoad, peer: _Peer, now_ms: float) -> bool:
+    """Return True if a report is newer than the last one of its instance."""
+    if load.incarnation == peer.incarnation:
+        return load.sequence > peer.sequence
+    # Incarnations come from the time of day, which may have been set back before a
+    # restart; a run that reports no more is over in any case.
+    is_over = now_ms - peer.heard_ms >= RESTART_MS
+    return load.incarnation > peer.incarnation or is_over
+
+
 def _same_run(one: RoutedServerBody, other: RoutedServerBody) -> bool:
     return (
         one.incarnation == other.incarnation
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/front.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/front.py
@@ -13,7 +13,6 @@
 from cardamomrun_base.settings import GatewaySettings, NodeSettings
 from cardamomrun_gateway.dispatch import Dispatch, DispatchTools
 from cardamomrun_gateway.server_connections import ServerConnections
-from cardamomrun_requests.background import Background
 from cardamomrun_requests.caller_listener import CallerListener
 from cardamomrun_requests.reply import Reply
 from cardamomrun_requests.request import CallerRequest
@@ -55,7 +54,7 @@
         self._tools = tools
         self._connections = connections
         self._listener = CallerListener(settings, self, idle_s=IDLE_S)
-        self._requests = Background()
+        self._requests = tools.background
         self._sweeper: asyncio.Task[None] | None = None
         self.leaving = False
 
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_attempt.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_attempt.py
@@ -61,11 +61,13 @@
 class Lost:
     """The server may have run the request, and its answer is missing.
 
-    `answer` is an error answer of the server's own, if that is all there is.
+    `answer` is an error answer of the server's own, if that is all there is, and
+    `has_no_answer` tells that the connection ended before anything came.
     """
 
     reason: str
     answer: Answered | None = None
+    has_no_answer: bool = False
 
 
 Result = Answered | NotSent | Lost
@@ -194,7 +196,7 @@
         self._verdict.end = AttemptEnd.RESET
         if answer.malformed:
             return Lost("the answer is malformed")
-        return Lost("the connection ended before an answer")
+        return Lost("the connection ended before an answer", has_no_answer=True)
 
     async def _take_answer(
         self, answer: Answer, start_line: ResponseStartLine, headers: HTTPHeaders
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_registry.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_registry.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from cardamomrun_base.clock import Clock
+from cardamomrun_base.errors import UnavailableError
 from cardamomrun_base.interfaces import Fleet
 from cardamomrun_base.logs import PartLog
 from cardamomrun_base.model import (
@@ -61,7 +62,8 @@
     async def announce(self, announcement: RoutedAnnouncement) -> None:
         """Take an announcement.
 
-        Raises `UnavailableError` if the server drains and no majority holds it yet.
+        Raises `UnavailableError` if the server drains and no majority holds it yet,
+        or if it is new and this instance is cut off: nobody would hear of it.
         """
         server_id = announcement.server_id
         self._heard_ms[server_id] = self._clock.now_ms()
@@ -80,6 +82,11 @@
         owner_id = self._fleet.instance_id
         if held is not None and _says_same(held, body) and held.owner_id == owner_id:
             return
+        if not self._control.is_in_contact():
+            raise UnavailableError(
+                f"{server_id} is not announced: this instance is cut off.",
+                remedy="announce it to another control instance",
+            )
         record = Record.of(Kind.ROUTED_SERVER, server_id, owner_id, version, body)
         self._fleet.store.put(record)
         _log.info(
--- a/packages/cardamomrun-gateway/tests/builders.py
+++ b/packages/cardamomrun-gateway/tests/builders.py
@@ -32,6 +32,7 @@
     Role,
 )
 from cardamomrun_bench.scripted_server import free_port, parse
+from cardamomrun_gateway.crash_guard import CrashGuard
 from cardamomrun_gateway.dispatch import DispatchTools
 from cardamomrun_gateway.fleet_load import (
     AttemptInWork,
@@ -47,6 +48,7 @@
 from cardamomrun_gateway.server_attempt import AttemptTools
 from cardamomrun_gateway.server_connections import ServerConnections
 from cardamomrun_gateway.table import RoutingTable
+from cardamomrun_requests.background import Background
 
 NAMES = GatewayHeaders(success_proof="Proof")
 WAIT_S = 5.0
@@ -210,7 +212,14 @@
             self.settings,
             self.clock,
             NAMES,
-            DispatchTools(tools, self.table, self.load, placement),
+            DispatchTools(
+                tools,
+                self.table,
+                self.load,
+                placement,
+                CrashGuard(self.clock, self.fleet),
+                Background(),
+            ),
             connections,
         )
         if content is not None:
--- a/packages/cardamomrun-gateway/tests/test_dispatch.py
+++ b/packages/cardamomrun-gateway/tests/test_dispatch.py
@@ -299,3 +299,38 @@
             assert server.heads == []
 
     asyncio.run(main())
+
+
+class DyingServer(ScriptedServer):
+    """Stops listening and breaks off when it gets its first request."""
+
+    async def _serve_one(self, reader, writer):
+        head = await reader.readuntil(b"\r\n\r\n")
+        self.heads.append(head)
+        self.stop()
+        writer.transport.abort()
+        return False
+
+
+def test_a_request_that_crashes_servers_is_stopped_and_others_go_on():
+    """Guards against one request that takes down a whole service."""
+
+    async def main():
+        servers = [DyingServer([OK]) for _ in range(3)]
+        good = ScriptedServer([Step(answer(attempt_id="id-1"))])
+        async with gateway(*servers, good) as running:
+            for _ in range(8):
+                running.load.started(running.load.get("b4"))
+            for _ in range(6):
+                await running.call("POST", "/b/x", b"crash")
+                await asyncio.sleep(0.02)
+            assert sum(len(server.heads) for server in servers) == 2
+            refused = await running.call("POST", "/b/x", b"crash")
+            assert (refused.status, refused.outcome) == (503, "not-run")
+            now_ms = running.clock.now_ms()
+            for _ in range(8):
+                held = running.load.get("b4")
+                running.load.ended(held, AttemptEnd.GOOD, now_ms, 300.0)
+            assert (await running.call("POST", "/b/x", b"other")).status == 200
+
+    asyncio.run(main())
--- a/packages/cardamomrun-gateway/tests/test_fleet_load.py
+++ b/packages/cardamomrun-gateway/tests/test_fleet_load.py
@@ -49,6 +49,17 @@
     assert server.in_work_count == 0
 
 
+def test_an_instance_that_restarts_with_an_earlier_time_of_day_is_heard(load, clock):
+    """Guards against an instance that is ignored since its clock was set back."""
+    server = load.get("b1")
+    load.take(load_of("e2", 50, incarnation=9_000))
+    load.take(load_of("e2", 1, incarnation=5_000, in_work=[(server.key, 5)]))
+    assert server.in_work_count == 0
+    clock.advance_ms(600)
+    load.take(load_of("e2", 2, incarnation=5_000, in_work=[(server.key, 5)]))
+    assert server.in_work_count == 1
+
+
 def test_a_silent_instance_is_forgotten(load, clock):
     server = load.get("b1")
     load.take(load_of("e2", in_work=[(server.key, 5)]))
--- a/packages/cardamomrun-node/src/cardamomrun_node/gateway_node.py
+++ b/packages/cardamomrun-node/src/cardamomrun_node/gateway_node.py
@@ -11,6 +11,7 @@
 from cardamomrun_control.routing_service import RoutingControl
 from cardamomrun_fleet.fleet import Fleet
 from cardamomrun_gateway.address_book import AddressBook
+from cardamomrun_gateway.crash_guard import CrashGuard
 from cardamomrun_gateway.dispatch import DispatchTools
 from cardamomrun_gateway.fleet_load import FleetLoad
 from cardamomrun_gateway.front import GatewayFront
@@ -23,6 +24,7 @@
 from cardamomrun_gateway.server_registry import ServerRegistry
 from cardamomrun_gateway.table import RoutingTable
 from cardamomrun_node.parts import PartLoop, cancel, keep_running
+from cardamomrun_requests.background import Background
 
 __all__ = ["GatewayNode"]
 
@@ -105,7 +107,10 @@
             clock, self._names, connections, reports, RouteTimes()
         )
         placement = Placement(clock, load, settings.failure_domain)
-        tools = DispatchTools(attempt_tools, self.table, load, placement)
+        guard = CrashGuard(clock, self.fleet)
+        tools = DispatchTools(
+            attempt_tools, self.table, load, placement, guard, Background()
+        )
         self._front = GatewayFront(settings, clock, self._names, tools, connections)
         await self._front.start()
         stack.push_async_callback(self._front.stop)
