--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_registry.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_registry.py
@@ -168,7 +168,8 @@
 def _says_same(held: Record, body: RoutedServerBody) -> bool:
     old: RoutedServerBody = held.content
     return (
-        old.phase is body.phase
+        old.incarnation == body.incarnation
+        and old.phase is body.phase
         and old.service == body.service
         and old.address == body.address
         and old.slots == body.slots
