--- a/packages/cardamomrun-operators/src/cardamomrun_operators/commands.py
+++ b/packages/cardamomrun-operators/src/cardamomrun_operators/commands.py
@@ -3,8 +3,10 @@
 import asyncio
 import base64
 import difflib
+import sys
 import time
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Iterable
+from dataclasses import asdict
 from pathlib import Path
 from typing import Any
 
@@ -15,12 +17,14 @@
 from cardamomrun_base.model import Stage
 from cardamomrun_control.audit import GENESIS_HASH, AuditEntry, AuditError, verify
 from cardamomrun_operators.control_client import ControlClient, NotFoundError
+from cardamomrun_operators.log_story import read_lines, story_of
 from cardamomrun_operators.output import (
     render,
     render_audit,
     render_control,
     render_history,
     render_status,
+    render_story,
 )
 from cardamomrun_operators.settings import DEFAULT_PATH, load_operator_settings
 
@@ -57,6 +61,21 @@
             }
         )
 
+    def follow(self, identifier: str, *files: str) -> None:
+        """Tell from logs what happened to a request or a backend server.
+
+        Reads files of several processes, or standard input if none is named, and
+        names the cause that the lines show.
+
+        Example: cardamomrun follow order-7 log/entry-1 log/entry-2
+        """
+        lines = read_lines(_texts(files))
+        story = story_of(identifier, lines)
+        if self._json:
+            self._print(asdict(story))
+        else:
+            print(render_story(story))
+
     def diff(self, document: str, stage: str = "trial") -> None:
         """Show what a document would change in a stage.
 
@@ -301,3 +320,19 @@
 
 def _new_change_number() -> int:
     return time.time_ns() // 1_000
+
+
+def _texts(files: tuple[str, ...]) -> Iterable[str]:
+    """Yield the lines of files, or of standard input if none is named."""
+    if not files:
+        yield from sys.stdin
+        return
+    for name in files:
+        try:
+            with Path(name).open(encoding="utf-8", errors="replace") as file:
+                yield from file
+        except OSError as error:
+            raise UsageError(
+                f"{name}: cannot be read ({error.strerror}).",
+                remedy="name files that hold logs",
+            ) from error
--- a/packages/cardamomrun-operators/src/cardamomrun_operators/output.py
+++ b/packages/cardamomrun-operators/src/cardamomrun_operators/output.py
@@ -5,12 +5,15 @@
 from datetime import UTC, datetime
 from typing import Any
 
+from cardamomrun_operators.log_story import Story
+
 __all__ = [
     "render",
     "render_audit",
     "render_control",
     "render_history",
     "render_status",
+    "render_story",
 ]
 
 # Enough of a digest to tell versions apart; --json has all of it.
@@ -135,3 +138,20 @@
     if isinstance(item, (Mapping, list)):
         return [f"{key}: none"]
     return [f"{key}: {item}"]
+
+
+def render_story(story: Story) -> str:
+    """Return a story for people: a line each with its time since the first one.
+
+    >>> print(render_story(Story("order-7", (), "no line names it")))
+    order-7
+    cause: no line names it
+    """
+    lines = [story.identifier]
+    for line in story.lines:
+        since_ms = line.at_ms - story.lines[0].at_ms
+        fields = " ".join(f"{name}={value}" for name, value in line.fields.items())
+        lines.append(
+            f"{since_ms:9.0f} ms  {line.instance_id:<12} {line.text}  {fields}"
+        )
+    return "\n".join([*lines, f"cause: {story.cause}"])
