Pass failures on at once, collect the rest; keep last attempts off servers in doubt

Ruled out: reports without collecting (four times the datagrams). Change: a reset or refused connection is told at once, all else is collected for 25 ms; trials begin after 1 s; an attempt that is the last one chooses as a request that may run once does; a service without idempotent requests waits 12 s before a costly trial, or less if all trusted servers are full.

--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/dispatch.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/dispatch.py
@@ -301,16 +301,23 @@
             is_upload=routed.is_upload,
             rank=routed.route.rank,
             usual_ms=self._tools.attempt.times.usual_ms(routed.route),
+            may_fail=self._may_fail(routed),
             may_try=may_try,
             has_idempotent_peers=self._service in table.idempotent_services,
             excluded=frozenset(self._tried),
         )
 
+    def _may_fail(self, routed: RoutedRequest) -> bool:
+        """Return True if the request has another attempt after the next one."""
+        return routed.is_idempotent and (
+            self._run_count() + 1 < routed.route.attempt_count
+        )
+
     async def _place(self, routed: RoutedRequest) -> Choice:
         """Return the server of the next attempt, waiting a little for a free one."""
         # A trial may fail, so the request must have another attempt left.
         may_try = self._sent_count == 0 and (
-            not routed.is_idempotent or routed.route.attempt_count > 1
+            not routed.is_idempotent or self._may_fail(routed)
         )
         held_since_ms = self._clock.now_ms()
         limit_ms = routed.route.objective_ms * HOLD_RATIO
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/load_reports.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/load_reports.py
@@ -4,7 +4,9 @@
 few milliseconds and sends them together to the instances of its domain and to the
 relays of the others, so that an instance receives a few batches and not the reports
 of each other one. Datagrams may be lost: each report holds the whole state of its
-sender, and one is sent at least every `report_idle_ms`.
+sender, and one is sent at least every `report_idle_ms`. A report that puts a server in
+doubt is urgent: relays pass it on at once, since each request that goes to such a
+server meanwhile may be lost.
 """
 
 import asyncio
@@ -40,8 +42,9 @@
 # Starts and ends within this time leave in one datagram. Longer, and two instances
 # take the same free slot more often.
 FLUSH_MS = 2.0
-# How long a relay collects reports; two hops add up to twice this time.
-COLLECT_MS = 12.0
+# How long a relay collects reports that are not urgent; two hops take up to twice this.
+# Played loads serve as many callers as with reports that are not collected at all.
+COLLECT_MS = 25.0
 # Ends told again in each report, so that a few lost datagrams lose none.
 TOLD_ENDS_COUNT = 6
 # An end this old has been told several times.
@@ -51,8 +54,13 @@
 # Datagrams above this size are split on the way, and lost if any part is.
 DATAGRAM_BYTES = 1_300
 REPORT = b"\x01"
-NEAR_BATCH = b"\x02"
-FAR_BATCH = b"\x03"
+URGENT_REPORT = b"\x02"
+NEAR_BATCH = b"\x03"
+FAR_BATCH = b"\x04"
+URGENT_FAR_BATCH = b"\x05"
+REPORTS = frozenset((REPORT, URGENT_REPORT))
+URGENT = frozenset((URGENT_REPORT, URGENT_FAR_BATCH))
+URGENT_ENDS = frozenset((AttemptEnd.RESET, AttemptEnd.REFUSED))
 
 _log = PartLog("load")
 
@@ -192,7 +200,10 @@
         key, started_ms = self._in_work.pop(token)
         self._tell(key, end, started_ms)
         self._load.ended(server, end, started_ms, usual_ms)
-        self._flush_soon()
+        if end in URGENT_ENDS:
+            self._flush(is_urgent=True)
+        else:
+            self._flush_soon()
 
     def overdue(self, token: int, server: Server) -> None:
         """Count an attempt that takes much longer than usual and goes on."""
@@ -211,11 +222,13 @@
             choice.heard(addr, now_ms)
         kind, body = data[:1], data[1:]
         try:
-            bodies = [body] if kind == REPORT else cbor2.loads(body)
+            bodies = [body] if kind in REPORTS else cbor2.loads(body)
             for report in bodies:
                 self._take(kind, report)
         except (ValueError, TypeError, cbor2.CBORError) as error:
             _log.warning(f"a datagram was dropped: {error}")
+        if kind in URGENT:
+            self._send_batches(is_urgent=True)
 
     def error_received(self, exc: Exception) -> None:
         """Ignore refused datagrams: a peer that does not listen is found by its links."""
@@ -238,7 +251,7 @@
             loop = asyncio.get_running_loop()
             loop.call_later(FLUSH_MS / MS_PER_S, self._flush)
 
-    def _flush(self) -> None:
+    def _flush(self, *, is_urgent: bool = False) -> None:
         self._flush_due = False
         now_ms = self._sent_ms = self._clock.now_ms()
         self._read_targets()
@@ -247,16 +260,18 @@
         relay = self._own_relay.pick(now_ms)
         if relay is None or relay == self._own_address:
             self._collect(self._collected, self._settings.instance_id, body)
+            if is_urgent:
+                self._send_batches(is_urgent=True)
         else:
-            self._send(REPORT + body, relay)
+            self._send((URGENT_REPORT if is_urgent else REPORT) + body, relay)
 
     def _take(self, kind: bytes, body: bytes) -> None:
         load = decode_load(body)
         if load.instance_id == self._settings.instance_id:
             return
-        if kind == REPORT:
+        if kind in REPORTS:
             self._collect(self._collected, load.instance_id, body)
-        elif kind == FAR_BATCH:
+        elif kind != NEAR_BATCH:
             self._collect(self._passed_on, load.instance_id, body)
         self._load.take(load)
         self._budget.take(load)
@@ -270,7 +285,7 @@
             loop = asyncio.get_running_loop()
             loop.call_later(COLLECT_MS / MS_PER_S, self._send_batches)
 
-    def _send_batches(self) -> None:
+    def _send_batches(self, *, is_urgent: bool = False) -> None:
         self._batch_due = False
         now_ms = self._clock.now_ms()
         self._read_targets()
@@ -282,10 +297,11 @@
             for address in self._near:
                 self._send(NEAR_BATCH + data, address)
         relays = [choice.pick(now_ms) for choice in self._far_relays.values()]
+        far_kind = URGENT_FAR_BATCH if is_urgent else FAR_BATCH
         for data in _batches(own):
             for relay in relays:
                 if relay is not None:
-                    self._send(FAR_BATCH + data, relay)
+                    self._send(far_kind + data, relay)
 
     def _own_load(self) -> InstanceLoad:
         now_ms = self._clock.now_ms()
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/placement.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/placement.py
@@ -8,11 +8,12 @@
 from cardamomrun_base.clock import Clock
 from cardamomrun_base.model import ServerId
 from cardamomrun_gateway.fleet_load import FleetLoad, Server
+from cardamomrun_gateway.server_health import TRIAL_FIRST_MS
 
 __all__ = ["Choice", "Placement", "Reason", "Wish"]
 
 # A full server is slower than an empty one by this share.
-FULLNESS_RATIO = 0.3
+FULLNESS_RATIO = 0.1
 # Warming up takes about twice the usual time.
 WARM_UP_FACTOR = 2.0
 # Bytes between failure domains are scarce; a request waits this much longer at a
@@ -22,12 +23,12 @@
 # A server that has not shown for a while that it accepts requests may have begun to
 # reset them. A request that may run once prefers proven servers; one that may be
 # repeated prefers the others, and so proves them.
-STALE_COST_RATIO = 0.08
-STALE_GAIN_RATIO = 0.04
+STALE_COST_RATIO = 0.25
+STALE_GAIN_RATIO = 0.15
 STALE_LIMIT_MS = 2_000.0
 # A service that no idempotent request reaches gets its trials from other requests,
 # which are lost if the trial fails: after this time, and then in longer steps.
-COSTLY_TRIAL_MS = 6_000.0
+COSTLY_TRIAL_MS = 12_000.0
 # Requests that a server may hold beyond its slots, by rank: the most urgent wait at
 # the server rather than being refused.
 QUEUE_RATIOS = (0.5, 0.5, 0.25)
@@ -43,13 +44,18 @@
 
 @dataclass(frozen=True)
 class Wish:
-    """What a request needs from its server."""
+    """What a request needs from its server.
+
+    `may_fail` tells that the request can be repeated if this attempt fails, and
+    `may_try` that it may go to a server in doubt.
+    """
 
     service: str
     is_idempotent: bool
     is_upload: bool
     rank: int
     usual_ms: float
+    may_fail: bool
     may_try: bool
     has_idempotent_peers: bool
     excluded: frozenset[ServerId] = frozenset()
@@ -94,6 +100,9 @@
         free = [s for s in trusted if s.in_work_count < s.body.slots]
         if free:
             return Choice(self._best(free, wish, now_ms), Reason.BEST)
+        needed = self._needed_trial(servers, wish, now_ms)
+        if needed is not None:
+            return Choice(needed, Reason.TRIAL)
         ratio = QUEUE_RATIOS[min(wish.rank, len(QUEUE_RATIOS) - 1)]
         with_room = [s for s in trusted if s.in_work_count < s.body.slots * (1 + ratio)]
         if with_room:
@@ -121,6 +130,27 @@
             return None
         return min(due, key=lambda server: server.health.trial_due_ms)
 
+    def _needed_trial(
+        self, servers: list[Server], wish: Wish, now_ms: float
+    ) -> Server | None:
+        """Return a server in doubt to try because all trusted ones are full.
+
+        Only for services that idempotent requests cannot reach: without a trial their
+        servers would stay in doubt while callers are refused.
+        """
+        if wish.has_idempotent_peers or wish.is_idempotent or not wish.may_try:
+            return None
+        due = [
+            server
+            for server in servers
+            if server.health.is_doubted
+            and server.in_work_count == 0
+            and now_ms >= server.health.trial_due_ms
+        ]
+        if not due:
+            return None
+        return max(due, key=lambda server: server.health.doubt_age_ms(now_ms))
+
     def _is_trial_due(self, server: Server, wish: Wish, now_ms: float) -> bool:
         health = server.health
         if wish.is_idempotent:
@@ -128,7 +158,7 @@
         if wish.has_idempotent_peers:
             return False
         # The pause grows with failed trials and is scaled to their higher cost.
-        pauses = health.trial_pause_ms / 400.0
+        pauses = health.trial_pause_ms / TRIAL_FIRST_MS
         if health.good_streak:
             return now_ms >= health.trial_due_ms
         return now_ms >= health.trial_due_ms + COSTLY_TRIAL_MS * pauses
@@ -149,7 +179,7 @@
         queued = max(0, server.in_work_count + 1 - slots)
         cost_ms += work_ms * queued / slots
         stale_ms = min(STALE_LIMIT_MS, now_ms - server.health.proven_ms)
-        if wish.is_idempotent:
+        if wish.may_fail:
             cost_ms -= stale_ms * STALE_GAIN_RATIO
         else:
             cost_ms += stale_ms * STALE_COST_RATIO
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_health.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_health.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
-__all__ = ["AttemptEnd", "ServerHealth"]
+__all__ = ["TRIAL_FIRST_MS", "AttemptEnd", "ServerHealth"]
 
 # A single error answer is ordinary; two with at most one good answer between are not.
 DOUBT_WEIGHT = 1.5
@@ -18,9 +18,9 @@
 GOODS_TO_TRUST = 2
 # First pause before a doubted server gets a trial, and its growth with each failed
 # trial. Doubts last for seconds, and each failed trial costs a second attempt.
-TRIAL_FIRST_MS = 400.0
+TRIAL_FIRST_MS = 1_000.0
 TRIAL_GROWTH_FACTOR = 1.5
-TRIAL_MAX_MS = 1_500.0
+TRIAL_MAX_MS = 3_000.0
 
 
 class AttemptEnd(IntEnum):
--- a/packages/cardamomrun-gateway/tests/builders.py
+++ b/packages/cardamomrun-gateway/tests/builders.py
@@ -170,6 +170,7 @@
         "is_upload": False,
         "rank": 1,
         "usual_ms": 300.0,
+        "may_fail": changes.get("is_idempotent", True),
         "may_try": True,
         "has_idempotent_peers": True,
     }
