Cut log records that a power loss kept from being written

Cause: a power loss may skip an unsynced write and keep a later one. The file then holds zeros followed by data, which was refused as damage, and the control instance could not start again. Found by reading; the test fails without the change. Ruled out: taking every wrong checksum for a torn write, as flipped bits in synced records must be refused.

--- a/packages/cardamomrun-control/src/cardamomrun_control/file_records.py
+++ b/packages/cardamomrun-control/src/cardamomrun_control/file_records.py
@@ -26,6 +26,10 @@
 ]
 
 HEADER = struct.Struct(">III")
+# Records end with a checksum or with a command, neither of which ends in zeros.
+UNWRITTEN_TAIL_BYTES = 4
+# Disks write in blocks of at least this size.
+UNWRITTEN_BLOCK_BYTES = 512
 DAMAGE_REMEDY = (
     "move the folder away, start with an empty one, then remove this voter and add "
     "it again"
@@ -83,22 +87,27 @@
 def record_at(path: Path, data: bytes, offset: int) -> tuple[Any, int]:
     """Return the record at `offset` and its end, or None if it is incomplete.
 
-    Only bytes that end too early, or that are all zero up to the end of the file
-    (allocated, never written), count as incomplete. Anything else may have been
-    synced before it was damaged, so it raises `StorageError`, which names `path`.
+    A record counts as incomplete if its bytes end too early, or if a power loss kept a
+    part of them from being written: the file system then shows zeros in their place,
+    also before later writes that were kept. Any other difference may be damage to
+    synced bytes, so it raises `StorageError`, which names `path`.
     """
     # A view, since a copy of the rest for each record makes reading quadratic.
     rest = memoryview(data)[offset:]
-    if len(rest) < HEADER.size or not any(rest):
+    if len(rest) < HEADER.size or not any(rest[: HEADER.size]):
         return None, offset
     length, body_sum, header_sum = HEADER.unpack_from(rest)
     if zlib.crc32(rest[:8]) != header_sum:
+        if _is_unwritten(rest[: HEADER.size]):
+            return None, offset
         raise damage(path, offset, "the checksum of a header is wrong")
     end = HEADER.size + length
     if len(rest) < end:
         return None, offset
     body = bytes(rest[HEADER.size : end])
     if zlib.crc32(body) != body_sum:
+        if _is_unwritten(body):
+            return None, offset
         raise damage(path, offset, "the checksum of a record is wrong")
     try:
         return decode(body), offset + end
@@ -106,6 +115,12 @@
         raise damage(path, offset, "a record cannot be decoded") from error
 
 
+def _is_unwritten(data: bytes | memoryview) -> bool:
+    """Return True if the end of some bytes, or a block of them, was never written."""
+    tail = bytes(data[-UNWRITTEN_TAIL_BYTES:])
+    return not any(tail) or bytes(UNWRITTEN_BLOCK_BYTES) in bytes(data)
+
+
 def damage(path: Path, offset: int, fault: str) -> StorageError:
     """Return the error for a file that cannot be trusted."""
     return StorageError(f"{path}, offset {offset}: {fault}.", remedy=DAMAGE_REMEDY)
--- a/packages/cardamomrun-control/tests/test_storage.py
+++ b/packages/cardamomrun-control/tests/test_storage.py
@@ -54,6 +54,21 @@
     assert reopened_indexes(tmp_path)[0] == [1, 2, 3, 4, 5]
 
 
+def test_a_write_that_a_power_loss_skipped_is_cut(tmp_path):
+    """Guards against a start that fails because a later unsynced write was kept."""
+    path = filled(tmp_path, 3)
+    start = path.stat().st_size
+    filled(tmp_path / "whole", 6)
+    whole = next((tmp_path / "whole").glob("log-*.segment")).read_bytes()
+    size = (len(whole) - start) // 3
+    hole = whole[:start] + bytes(size) + whole[start + size :]
+    torn = whole[: start + size - 6] + bytes(6) + whole[start + size :]
+    header_torn = whole[: start + 5] + bytes(size - 5) + whole[start + size :]
+    for content in (hole, torn, header_torn):
+        path.write_bytes(content)
+        assert reopened_indexes(tmp_path) == ([1, 2, 3], Vote(3, "c2"))
+
+
 def test_each_flipped_bit_is_refused_and_named(tmp_path):
     """Guards against damage that is taken for a torn tail and drops synced entries."""
     path = filled(tmp_path)
