Publish what was committed before a restart without waiting for a leader

Change: a control instance saves its committed index and the known servers each 500 ms, and publishes them at its start. A committed entry is never replaced, so this needs no leader.

--- a/packages/cardamomrun-control/src/cardamomrun_control/agreement.py
+++ b/packages/cardamomrun-control/src/cardamomrun_control/agreement.py
@@ -36,6 +36,7 @@
         """Read the log, take part in elections and answer the other replicas."""
         await self._durable.start()
         self._load()
+        self._apply_recovered()
         self._fleet.handle(VoteRequest, self._on_vote)
         self._fleet.handle(AppendRequest, self._on_append)
         self._fleet.handle(SnapshotChunk, self._on_chunk)
--- a/packages/cardamomrun-control/src/cardamomrun_control/commits.py
+++ b/packages/cardamomrun-control/src/cardamomrun_control/commits.py
@@ -40,6 +40,14 @@
             self._commit_index = index
             self._apply_committed()
 
+    def _apply_recovered(self) -> None:
+        """Apply the entries that were known as committed before the last stop.
+
+        A committed entry is never replaced, so this needs no leader.
+        """
+        index = min(self._durable.recovery.commit_index, self._durable.last_index)
+        self._learn_commit(index)
+
     def _apply_committed(self) -> None:
         while self._applied_index < self._commit_index:
             index = self._applied_index + 1
--- a/packages/cardamomrun-control/src/cardamomrun_control/data_folder.py
+++ b/packages/cardamomrun-control/src/cardamomrun_control/data_folder.py
@@ -8,10 +8,13 @@
 from typing import Any
 
 from cardamomrun_base.errors import StorageError
+from cardamomrun_base.logs import PartLog
 from cardamomrun_control.disk import Disk
 from cardamomrun_control.file_records import (
+    NO_RECOVERY,
     NO_SNAPSHOT,
     Identity,
+    Recovery,
     Snapshot,
     Vote,
     damage,
@@ -25,8 +28,11 @@
 IDENTITY_FILE = "identity"
 VOTE_FILE = "vote"
 SNAPSHOT_FILE = "snapshot"
+RECOVERY_FILE = "recovery"
 SEGMENT_PATTERN = "log-*.segment"
 
+_log = PartLog("control")
+
 
 class NotReplacedError(Exception):
     """A file was not replaced; the old one is as it was."""
@@ -103,6 +109,19 @@
         """Make a snapshot durable."""
         self._replace(SNAPSHOT_FILE, snapshot)
 
+    def read_recovery(self) -> Recovery:
+        """Return what was saved to speed up a start, or `NO_RECOVERY`."""
+        try:
+            found = self._read(RECOVERY_FILE)
+        except StorageError as error:
+            _log.warning(f"starts without the recovery file: {error}")
+            return NO_RECOVERY
+        return found if isinstance(found, Recovery) else NO_RECOVERY
+
+    def save_recovery(self, recovery: Recovery) -> None:
+        """Save what speeds up a start."""
+        self._replace(RECOVERY_FILE, recovery)
+
     def segment_paths(self) -> list[Path]:
         """Return the segment files of the log, the oldest first."""
         return sorted(self.path.glob(SEGMENT_PATTERN))
--- a/packages/cardamomrun-control/src/cardamomrun_control/file_records.py
+++ b/packages/cardamomrun-control/src/cardamomrun_control/file_records.py
@@ -15,9 +15,11 @@
 from cardamomrun_base.errors import StorageError
 
 __all__ = [
+    "NO_RECOVERY",
     "NO_SNAPSHOT",
     "Entry",
     "Identity",
+    "Recovery",
     "Snapshot",
     "Vote",
     "damage",
@@ -74,6 +76,19 @@
     state: bytes
 
 
+@message("control-recovery")
+@dataclass(frozen=True)
+class Recovery:
+    """What speeds up a start: a committed index, and records in encoded form.
+
+    It is saved now and then and may be old; nothing depends on it.
+    """
+
+    commit_index: int
+    records: tuple[bytes, ...]
+
+
+NO_RECOVERY = Recovery(0, ())
 NO_SNAPSHOT = Snapshot(0, 0, b"", b"")
 
 
--- a/packages/cardamomrun-control/src/cardamomrun_control/following.py
+++ b/packages/cardamomrun-control/src/cardamomrun_control/following.py
@@ -33,6 +33,8 @@
             self._become_follower(peer_id)
         self._leader_id = peer_id
         self._hear()
+        if self._first_leader_ms is None:
+            self._first_leader_ms = self._heard_ms
         return True
 
     def _replica_answering(self, envelope: Envelope) -> str:
--- a/packages/cardamomrun-control/src/cardamomrun_control/lease.py
+++ b/packages/cardamomrun-control/src/cardamomrun_control/lease.py
@@ -24,13 +24,16 @@
         self._check_quorum()
         return self.is_leader and self._clock.now_ms() < self._lease_until_ms
 
-    def is_in_contact(self) -> bool:
-        """Return True while this replica leads a majority or hears who does."""
-        if self.holds_lease():
-            return True
+    def has_lost_contact(self) -> bool:
+        """Return True if a leader was known once and none has been heard for long.
+
+        An instance that has just started has not lost anything: after all of them
+        restarted, there is no leader for a while and nobody is cut off.
+        """
+        if self.holds_lease() or self._first_leader_ms is None:
+            return False
         silent_ms = self._clock.now_ms() - self._heard_ms
-        heard = silent_ms < self._settings.election_timeout_ms * CONTACT_RATIO
-        return heard and self._leader_id is not None
+        return silent_ms >= self._settings.election_timeout_ms * CONTACT_RATIO
 
     def lease_held_since_ms(self) -> float:
         """Return when this instance's current leader lease began, monotonic ms."""
--- a/packages/cardamomrun-control/src/cardamomrun_control/replica.py
+++ b/packages/cardamomrun-control/src/cardamomrun_control/replica.py
@@ -85,6 +85,7 @@
         self._peers: dict[str, Progress] = {}
         self._pending: dict[int, Pending] = {}
         self._heard_ms = 0.0
+        self._first_leader_ms: float | None = None
         self._election_due_ms = 0.0
         self._lease_until_ms = float("-inf")
         self._lease_since_ms = 0.0
--- a/packages/cardamomrun-control/src/cardamomrun_control/replication.py
+++ b/packages/cardamomrun-control/src/cardamomrun_control/replication.py
@@ -42,6 +42,8 @@
             command = self._first_voters(votes)
         _log.info(f"leads in term {self.term}", term=self.term)
         self._started_leading_ms = now_ms
+        if self._first_leader_ms is None:
+            self._first_leader_ms = now_ms
         self._append_own(command)
         self._manage_peers()
         self._extend_lease()
--- a/packages/cardamomrun-control/src/cardamomrun_control/routing_service.py
+++ b/packages/cardamomrun-control/src/cardamomrun_control/routing_service.py
@@ -42,7 +42,7 @@
 )
 from cardamomrun_control.state import ControlState
 from cardamomrun_control.status import LEADER_KEY
-from cardamomrun_control.storage import DurableLog
+from cardamomrun_control.storage import DurableLog, Recovery
 from cardamomrun_control.voter_keeper import VoterKeeper
 
 __all__ = ["ROUTING_KEY", "RoutingControl", "drained_counter"]
@@ -59,6 +59,8 @@
 # so that no late announcement returns a server that drains or is gone to service.
 DRAINING_COUNTER = 1 << 40
 GONE_COUNTER = 1 << 41
+# A start after a loss of power finds at most this much less; each save costs two syncs.
+RECOVERY_SPACING_MS = 500
 # Longer than an announcement can be late.
 GONE_LIFETIME_MS = 600_000
 
@@ -100,8 +102,8 @@
         self._clock = clock
         self._fleet = fleet
         self._state = ControlState()
-        log = DurableLog(settings.control.data_folder)
-        self.agreement = Agreement(settings, clock, fleet, log, self._state)
+        self._durable = DurableLog(settings.control.data_folder)
+        self.agreement = Agreement(settings, clock, fleet, self._durable, self._state)
         self.agreement.on_commit = self._committed
         self._keeper = VoterKeeper(settings, clock, fleet, self.agreement)
         self._changed = asyncio.Event()
@@ -114,11 +116,13 @@
         self._settings.control.data_folder.mkdir(parents=True, exist_ok=True)
         await self.agreement.start()
         watch(self.agreement)
+        self._restore_servers()
         self._changed.set()
         loop = asyncio.get_running_loop()
         self._tasks = [
             loop.create_task(self._publish_changes()),
             loop.create_task(self._lead()),
+            loop.create_task(self._save_recovery()),
         ]
 
     async def stop(self) -> None:
@@ -192,9 +196,9 @@
         held = self._state.routing.retired(server_id)
         return held is not None and held.incarnation >= incarnation
 
-    def is_in_contact(self) -> bool:
-        """Return True while this instance leads or hears the leader."""
-        return self.agreement.is_in_contact()
+    def has_lost_contact(self) -> bool:
+        """Return True if this instance knew a leader and does not hear one any more."""
+        return self.agreement.has_lost_contact()
 
     async def _propose(self, command: Any) -> Any:
         if self.agreement.is_leader:
@@ -284,6 +288,34 @@
             lifetime_ms = GONE_LIFETIME_MS if entry.is_gone else None
             self._put(Kind.ROUTED_SERVER, entry.server_id, version, body, lifetime_ms)
 
+    def _restore_servers(self) -> None:
+        """Take the backend servers that were known before the last stop.
+
+        They announce themselves again, but callers would wait for it.
+        """
+        for data in self._durable.recovery.records:
+            record = decode(data)
+            if isinstance(record, Record):
+                self._fleet.store.put(record)
+
+    async def _save_recovery(self) -> None:
+        """Save what speeds up the next start whenever it has changed."""
+        saved = Recovery(0, ())
+        while True:
+            await self._clock.sleep_ms(RECOVERY_SPACING_MS)
+            servers = sorted(
+                self._fleet.store.all(Kind.ROUTED_SERVER), key=lambda r: r.key
+            )
+            records = tuple(
+                encode(record)
+                for record in servers
+                if record.content.phase is BackendPhase.SERVING
+            )
+            recovery = Recovery(self.agreement.applied_index, records)
+            if recovery != saved:
+                await self._durable.save_recovery(recovery)
+                saved = recovery
+
     async def _lead(self) -> None:
         """Publish the leader record and maintain the voters while this one leads."""
         while True:
--- a/packages/cardamomrun-control/src/cardamomrun_control/storage.py
+++ b/packages/cardamomrun-control/src/cardamomrun_control/storage.py
@@ -5,18 +5,31 @@
 from pathlib import Path
 
 from cardamomrun_base.errors import StorageError
+from cardamomrun_base.logs import PartLog
 from cardamomrun_control.data_folder import DataFolder, NotReplacedError
 from cardamomrun_control.disk import Disk, os_error
 from cardamomrun_control.file_records import (
+    NO_RECOVERY,
     NO_SNAPSHOT,
     Entry,
     Identity,
+    Recovery,
     Snapshot,
     Vote,
 )
 from cardamomrun_control.segments import HalfWrittenError, Segments
 
-__all__ = ["Disk", "DurableLog", "Entry", "Identity", "Snapshot", "Vote"]
+__all__ = [
+    "Disk",
+    "DurableLog",
+    "Entry",
+    "Identity",
+    "Recovery",
+    "Snapshot",
+    "Vote",
+]
+
+_log = PartLog("control")
 
 
 class DurableLog:
@@ -32,6 +45,7 @@
         self.replica_id = ""
         self.vote = Vote(0, "")
         self.snapshot = NO_SNAPSHOT
+        self.recovery = NO_RECOVERY
         self.synced_index = 0
         self._disk = disk or Disk()
         self._entries: list[Entry] = []
@@ -73,6 +87,7 @@
             self._folder.lock()
             self.replica_id, self.vote = self._folder.read_identity()
             self.snapshot = self._folder.read_snapshot()
+            self.recovery = self._folder.read_recovery()
             self._entries = self._segments.read(self.snapshot)
         except OSError as error:
             self._release()
@@ -107,6 +122,15 @@
         await self._guarded(lambda: self._folder.save_vote(vote))
         self.vote = vote
 
+    async def save_recovery(self, recovery: Recovery) -> None:
+        """Save what speeds up the next start; a failure is logged and changes nothing."""
+        if self._failure is not None:
+            return
+        try:
+            await self._disk.run(lambda: self._folder.save_recovery(recovery))
+        except (OSError, NotReplacedError) as error:
+            _log.warning(f"the recovery file was not saved: {error}")
+
     async def append(self, entries: Sequence[Entry]) -> None:
         """Write entries and return when they are durable."""
         self.write(entries)
--- a/packages/cardamomrun-control/tests/builders.py
+++ b/packages/cardamomrun-control/tests/builders.py
@@ -160,6 +160,9 @@
     def get(self, kind, key):
         return self.records.get((kind, key))
 
+    def all(self, kind):
+        return [record for (held, _), record in self.records.items() if held is kind]
+
     def put(self, record):
         held = self.get(record.kind, record.key)
         if held is not None and held.version >= record.version:
--- a/packages/cardamomrun-control/tests/test_routing_service.py
+++ b/packages/cardamomrun-control/tests/test_routing_service.py
@@ -3,7 +3,7 @@
 import pytest
 
 from cardamomrun_base.errors import DocumentError, UnavailableError
-from cardamomrun_base.model import BackendPhase, Kind
+from cardamomrun_base.model import BackendPhase, Kind, Record, RoutedServerBody
 from cardamomrun_control.routing_service import ROUTING_KEY
 
 from .builders import RoutingCluster, real_time, retried, routing, until
@@ -150,3 +150,55 @@
 def voting(cluster):
     """Return the instances that vote, once they are as many as wanted."""
     return [cluster.instances[name] for name in NAMES]
+
+
+@real_time
+async def test_an_instance_knows_that_it_is_cut_off(tmp_path):
+    async with RoutingCluster(tmp_path, **FAST) as cluster:
+        assert not any(i.control.has_lost_contact() for i in cluster.running())
+        await cluster.leader()
+        await retried(lambda: cluster.running()[0].control.put(routing(1), "op"))
+        cut_off = follower(cluster)
+        cluster.network.isolate(cut_off.name)
+        await until(cut_off.control.has_lost_contact, limit_s=10)
+        cluster.network.heal()
+        await until(lambda: not cut_off.control.has_lost_contact(), limit_s=10)
+
+
+@real_time
+async def test_a_restarted_instance_publishes_before_there_is_a_leader(tmp_path):
+    """Guards against callers that wait for an election after all instances stopped."""
+    async with RoutingCluster(tmp_path, **FAST) as cluster:
+        leader = await cluster.leader()
+        await retried(lambda: leader.control.put(routing(3), "op"))
+        server = RoutedServerBody(
+            "rota-desk", "b1", 5, "10.0.0.1:80", "kelowna-a", 4, BackendPhase.SERVING
+        )
+        for instance in cluster.running():
+            record = Record.of(Kind.ROUTED_SERVER, "b1", "c1", (5, 2), server)
+            instance.fleet.store.put(record)
+        await asyncio.sleep(1.5)
+        for instance in cluster.running():
+            await instance.crash()
+        alone = cluster.instances["c1"]
+        await alone.start()
+        store = alone.fleet.store
+        await until(lambda: store.get(Kind.ROUTING, ROUTING_KEY), limit_s=5)
+        assert store.get(Kind.ROUTED_SERVER, "b1").content == server
+        assert not alone.control.agreement.is_leader
+
+
+@real_time
+async def test_a_damaged_recovery_file_is_not_used(tmp_path):
+    async with RoutingCluster(tmp_path, **FAST) as cluster:
+        leader = await cluster.leader()
+        await retried(lambda: leader.control.put(routing(3, b"kept"), "op"))
+        await asyncio.sleep(1.0)
+        for instance in cluster.running():
+            await instance.crash()
+            folder = instance.settings.control.data_folder
+            (folder / "recovery").write_bytes(b"damaged")
+        for instance in cluster.instances.values():
+            await instance.start()
+        leader = await cluster.leader()
+        assert (await retried(leader.control.read)).source == b"kept"
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_registry.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_registry.py
@@ -82,7 +82,7 @@
         owner_id = self._fleet.instance_id
         if held is not None and _says_same(held, body) and held.owner_id == owner_id:
             return
-        if not self._control.is_in_contact():
+        if self._control.has_lost_contact():
             raise UnavailableError(
                 f"{server_id} is not announced: this instance is cut off.",
                 remedy="announce it to another control instance",
