Keep bytes in their failure domain, serve through mass failures, close callers safely

Change: a connection with unread bytes is not idle; a domain costs 150 ms and 60 ms a KB; breaking off after acceptance weighs as an error, and servers in doubt keep the service above its floor if they are likely to serve; the directory runs on the control machines, which listen to load reports.

--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/address_book.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/address_book.py
@@ -11,7 +11,7 @@
 __all__ = ["AddressBook"]
 
 # An instance that has missed this many reports is frozen, cut off or dead.
-MISSED_REPORTS_COUNT = 4
+MISSED_REPORTS_COUNT = 3
 # Below this many instances of its own failure domain a caller is told of others too.
 NEAR_COUNT = 2
 MAX_ADDRESS_COUNT = 64
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/dispatch.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/dispatch.py
@@ -298,7 +298,7 @@
         return Wish(
             service=self._service,
             is_idempotent=routed.is_idempotent,
-            is_upload=routed.is_upload,
+            body_bytes=self._request.body.length or 0,
             rank=routed.route.rank,
             usual_ms=self._tools.attempt.times.usual_ms(routed.route),
             may_fail=self._may_fail(routed),
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/load_reports.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/load_reports.py
@@ -1,5 +1,7 @@
 """Tells the other instances what this one has in work, by datagrams.
 
+Control instances only listen: they tell callers which instances are alive.
+
 A report goes to the relay of the own failure domain. A relay collects reports for a
 few milliseconds and sends them together to the instances of its domain and to the
 relays of the others, so that an instance receives a few batches and not the reports
@@ -23,7 +25,7 @@
 from cardamomrun_base.errors import AddressInUseError
 from cardamomrun_base.interfaces import Fleet
 from cardamomrun_base.logs import PartLog
-from cardamomrun_base.model import InstanceId, MemberBody, MemberPhase
+from cardamomrun_base.model import InstanceId, MemberPhase
 from cardamomrun_base.settings import GatewaySettings, NodeSettings, Role
 from cardamomrun_gateway.fleet_load import (
     AttemptInWork,
@@ -113,7 +115,6 @@
         fleet: Fleet,
         load: FleetLoad,
         budget: RetryBudget,
-        incarnation: int,
         randomness: random.Random | None = None,
     ) -> None:
         self._settings = settings
@@ -122,7 +123,7 @@
         self._fleet = fleet
         self._load = load
         self._budget = budget
-        self._incarnation = incarnation
+        self._incarnation = 0
         self._random = randomness or random.Random()
         self._tokens = itertools.count(1)
         self._sequences = itertools.count(1)
@@ -144,8 +145,9 @@
         self._targets_read_ms = float("-inf")
         self._sent_ms = float("-inf")
 
-    async def start(self) -> None:
-        """Open the port. Raises `AddressInUseError`."""
+    async def start(self, incarnation: int) -> None:
+        """Open the port in this run of the instance. Raises `AddressInUseError`."""
+        self._incarnation = incarnation
         place = (str(self._settings.host), self._settings.peer_port)
         loop = asyncio.get_running_loop()
         try:
@@ -167,9 +169,10 @@
     async def run(self) -> None:
         """Report at least every `report_idle_ms`, until cancelled."""
         idle_ms = self._gateway.report_idle_ms
+        sends = Role.ENTRY in self._settings.roles
         while True:
             self._load.drop_silent()
-            if self._clock.now_ms() - self._sent_ms >= idle_ms / 2:
+            if sends and self._clock.now_ms() - self._sent_ms >= idle_ms / 2:
                 self._flush()
             await self._clock.sleep_ms(idle_ms * self._random.uniform(0.8, 1.0))
 
@@ -332,13 +335,18 @@
             return
         self._targets_read_ms = now_ms
         by_domain: dict[str, list[Address]] = {}
+        self._near = []
         for member in self._fleet.members():
-            if _takes_reports(member):
-                address = _address(member.peer_address)
+            if member.phase is MemberPhase.GONE:
+                continue
+            address = _address(member.peer_address)
+            if Role.ENTRY in member.roles:
                 by_domain.setdefault(member.failure_domain, []).append(address)
+            is_near = member.failure_domain == self._settings.failure_domain
+            if is_near and address != self._own_address:
+                self._near.append(address)
         own = by_domain.pop(self._settings.failure_domain, [])
-        self._near = [address for address in own if address != self._own_address]
-        self._own_relay.candidates = _relay_order({*own, self._own_address})
+        self._own_relay.candidates = _relay_order(own)
         self._far_relays = {
             domain: self._far_relays.get(domain, RelayChoice()) for domain in by_domain
         }
@@ -374,10 +382,6 @@
         yield cbor2.dumps(batch)
 
 
-def _takes_reports(member: MemberBody) -> bool:
-    return Role.ENTRY in member.roles and member.phase is not MemberPhase.GONE
-
-
 def _address(peer_address: str) -> Address:
     host, _, port = peer_address.rpartition(":")
     return host.strip("[]"), int(port)
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/placement.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/placement.py
@@ -1,5 +1,6 @@
 """Chooses the backend server of an attempt, by what all instances know of it."""
 
+import math
 import random
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -16,10 +17,15 @@
 FULLNESS_RATIO = 0.1
 # Warming up takes about twice the usual time.
 WARM_UP_FACTOR = 2.0
-# Bytes between failure domains are scarce; a request waits this much longer at a
-# server of its own, and an upload more, as it carries most of the bytes.
-DOMAIN_COST_MS = 25.0
-UPLOAD_DOMAIN_COST_MS = 250.0
+# Bytes between failure domains are scarce: a request waits this much longer at a
+# server of its own, and longer by its size.
+DOMAIN_COST_MS = 150.0
+DOMAIN_COST_MS_PER_KB = 60.0
+# A server of another domain gets its trials from there, unless none comes for long.
+FAR_TRIAL_MS = 3_000.0
+# Servers in doubt that keep the service above its floor must be expected to serve at
+# least this share of requests that may run once; otherwise refusing them is better.
+FLOOR_SUCCESS_RATIO = 0.35
 # A server that has not shown for a while that it accepts requests may have begun to
 # reset them. A request that may run once prefers proven servers; one that may be
 # repeated prefers the others, and so proves them.
@@ -29,6 +35,7 @@
 # A service that no idempotent request reaches gets its trials from other requests,
 # which are lost if the trial fails: after this time, and then in longer steps.
 COSTLY_TRIAL_MS = 12_000.0
+BYTES_PER_KB = 1_024
 # Requests that a server may hold beyond its slots, by rank: the most urgent wait at
 # the server rather than being refused.
 QUEUE_RATIOS = (0.5, 0.5, 0.25)
@@ -40,6 +47,7 @@
     BEST = 0
     TRIAL = 1
     QUEUED = 2
+    FLOOR = 3
 
 
 @dataclass(frozen=True)
@@ -52,7 +60,7 @@
 
     service: str
     is_idempotent: bool
-    is_upload: bool
+    body_bytes: int
     rank: int
     usual_ms: float
     may_fail: bool
@@ -77,11 +85,13 @@
         clock: Clock,
         load: FleetLoad,
         failure_domain: str,
+        floor_ratio: float,
         randomness: random.Random | None = None,
     ) -> None:
         self._clock = clock
         self._load = load
         self._failure_domain = failure_domain
+        self._floor_ratio = floor_ratio
         self._random = randomness or random.Random()
 
     def choose(self, wish: Wish) -> Choice | None:
@@ -107,6 +117,9 @@
         with_room = [s for s in trusted if s.in_work_count < s.body.slots * (1 + ratio)]
         if with_room:
             return Choice(self._best(with_room, wish, now_ms), Reason.QUEUED)
+        floor = self._floor(servers, len(trusted), wish, now_ms)
+        if floor:
+            return Choice(self._best(floor, wish, now_ms), Reason.FLOOR)
         return None
 
     def has_servers(self, service: str) -> bool:
@@ -130,6 +143,29 @@
             return None
         return min(due, key=lambda server: server.health.trial_due_ms)
 
+    def _floor(
+        self, servers: list[Server], trusted_count: int, wish: Wish, now_ms: float
+    ) -> list[Server]:
+        """Return servers in doubt with free slots that keep the service above its floor.
+
+        When most servers look sick, the cause is likely not theirs, and leaving them
+        alone would only overload the others.
+        """
+        missing_count = math.ceil(len(servers) * self._floor_ratio) - trusted_count
+        if missing_count <= 0:
+            return []
+        doubted = [server for server in servers if server.health.is_doubted]
+        doubted.sort(key=lambda s: s.health.success_ratio(now_ms), reverse=True)
+        return [
+            server
+            for server in doubted[:missing_count]
+            if server.in_work_count < server.body.slots
+            and (
+                wish.may_fail
+                or server.health.success_ratio(now_ms) >= FLOOR_SUCCESS_RATIO
+            )
+        ]
+
     def _needed_trial(
         self, servers: list[Server], wish: Wish, now_ms: float
     ) -> Server | None:
@@ -154,7 +190,10 @@
     def _is_trial_due(self, server: Server, wish: Wish, now_ms: float) -> bool:
         health = server.health
         if wish.is_idempotent:
-            return now_ms >= health.trial_due_ms
+            due_ms = health.trial_due_ms
+            if server.body.failure_domain != self._failure_domain:
+                due_ms += FAR_TRIAL_MS
+            return now_ms >= due_ms
         if wish.has_idempotent_peers:
             return False
         # The pause grows with failed trials and is scaled to their higher cost.
@@ -184,5 +223,6 @@
         else:
             cost_ms += stale_ms * STALE_COST_RATIO
         if server.body.failure_domain != self._failure_domain:
-            cost_ms += UPLOAD_DOMAIN_COST_MS if wish.is_upload else DOMAIN_COST_MS
+            size_kb = wish.body_bytes / BYTES_PER_KB
+            cost_ms += DOMAIN_COST_MS + size_kb * DOMAIN_COST_MS_PER_KB
         return cost_ms
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/routed_request.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/routed_request.py
@@ -6,7 +6,7 @@
 
 from cardamomrun_base.clock import Clock
 from cardamomrun_base.headers import GatewayHeaders
-from cardamomrun_base.routing_document import RouteKind, RoutingRoute
+from cardamomrun_base.routing_document import RoutingRoute
 from cardamomrun_requests.framing import end_to_end_headers
 from cardamomrun_requests.request import CallerRequest
 
@@ -58,11 +58,6 @@
         """True if the request may run more than once."""
         return self.route.is_idempotent
 
-    @property
-    def is_upload(self) -> bool:
-        """True if the request carries a large body."""
-        return self.route.kind is RouteKind.UPLOAD
-
     def left_ms(self, clock: Clock) -> float:
         """Return the time until the request is given up; not negative."""
         return max(0.0, self.ends_ms - clock.now_ms())
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_attempt.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_attempt.py
@@ -31,6 +31,9 @@
 # can be replaced; longer ones are passed on while they arrive.
 HELD_BYTES = 262_144
 STATUS_SERVER_ERROR = 500
+# A server that resets requests does so within a few milliseconds; one that breaks off
+# later accepted the request.
+RESET_MS = 50.0
 # These tell a caller that its request was not run, which only a server's own header
 # can show.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -193,9 +196,12 @@
         connection.finish_request()
 
     def _no_head(self, answer: Answer) -> Lost:
-        self._verdict.end = AttemptEnd.RESET
         if answer.malformed:
+            self._verdict.end = AttemptEnd.BROKEN_OFF
             return Lost("the answer is malformed")
+        took_ms = self._tools.clock.now_ms() - self.started_ms
+        is_early = took_ms <= RESET_MS
+        self._verdict.end = AttemptEnd.RESET if is_early else AttemptEnd.BROKEN_OFF
         return Lost("the connection ended before an answer", has_no_answer=True)
 
     async def _take_answer(
@@ -213,7 +219,7 @@
         try:
             first, rest = await self._hold(answer, start_line)
         except BodyCutError:
-            self._verdict.end = AttemptEnd.RESET
+            self._verdict.end = AttemptEnd.BROKEN_OFF
             return Lost("the answer broke off")
         return self._judge(Answered(start_line, headers, first, rest))
 
@@ -235,10 +241,10 @@
         code = answered.start_line.code
         proof = self._tools.names.success_proof
         if proof is not None and proof not in answered.headers:
-            self._verdict.end = AttemptEnd.RESET
+            self._verdict.end = AttemptEnd.BROKEN_OFF
             return Lost(f"an answer with status {code} is not the server's own")
         if "Content-Encoding" in answered.headers and proof is not None:
-            self._verdict.end = AttemptEnd.RESET
+            self._verdict.end = AttemptEnd.BROKEN_OFF
             return Lost("the answer was encoded on its way")
         if code in NOT_RUN_STATUSES:
             self._verdict.end = AttemptEnd.ERROR
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_health.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_health.py
@@ -16,6 +16,8 @@
 GOOD_DECAY_RATIO = 0.5
 # A sick server still answers some requests, so one good answer proves little.
 GOODS_TO_TRUST = 2
+# Half of the weight of an answer or failure is gone after this time.
+MEMORY_MS = 2_000.0
 # First pause before a doubted server gets a trial, and its growth with each failed
 # trial. Doubts last for seconds, and each failed trial costs a second attempt.
 TRIAL_FIRST_MS = 1_000.0
@@ -24,7 +26,10 @@
 
 
 class AttemptEnd(IntEnum):
-    """How an attempt at a backend server ended; the numbers are sent to peers."""
+    """How an attempt at a backend server ended; the numbers are sent to peers.
+
+    `RESET` came at once, `BROKEN_OFF` after the server had accepted the request.
+    """
 
     NO_EVIDENCE = 0
     GOOD = 1
@@ -34,12 +39,14 @@
     REFUSED = 5
     UNREACHABLE = 6
     SHED = 7
+    BROKEN_OFF = 8
 
 
 # How much an end counts against the server. An instance that cannot reach a server
 # may have lost its own path, so it takes several of them to put the server in doubt.
 FAILURE_WEIGHTS = {
     AttemptEnd.RESET: 2.0,
+    AttemptEnd.BROKEN_OFF: 1.0,
     AttemptEnd.ERROR: 1.0,
     AttemptEnd.OVERDUE: 0.8,
     AttemptEnd.REFUSED: 2.0,
@@ -57,6 +64,9 @@
     trial_pause_ms: float = TRIAL_FIRST_MS
     good_streak: int = 0
     proven_ms: float = float("-inf")
+    recent_good: float = 0.0
+    recent_failed: float = 0.0
+    recent_ms: float = 0.0
 
     @property
     def is_doubted(self) -> bool:
@@ -65,11 +75,13 @@
 
     def note(self, end: AttemptEnd, started_ms: float, ended_ms: float) -> bool:
         """Judge the end of an attempt; return True if doubt began or ended."""
+        weight = FAILURE_WEIGHTS.get(end)
         if end is AttemptEnd.GOOD:
+            self._remember(1.0, 0.0, ended_ms)
             return self._good(started_ms, ended_ms)
-        weight = FAILURE_WEIGHTS.get(end)
         if weight is None:
             return False
+        self._remember(0.0, 1.0, ended_ms)
         return self._failed(weight, started_ms, ended_ms)
 
     def survived(self, started_ms: float) -> None:
@@ -82,6 +94,21 @@
             return 0.0
         return now_ms - self.doubted_since_ms
 
+    def success_ratio(self, now_ms: float) -> float:
+        """Return the share of attempts that may be expected to succeed."""
+        left = self._memory_left(now_ms)
+        good, failed = self.recent_good * left, self.recent_failed * left
+        return (good + 1.0) / (good + failed + 1.0)
+
+    def _remember(self, good: float, failed: float, at_ms: float) -> None:
+        left = self._memory_left(at_ms)
+        self.recent_good = self.recent_good * left + good
+        self.recent_failed = self.recent_failed * left + failed
+        self.recent_ms = max(self.recent_ms, at_ms)
+
+    def _memory_left(self, now_ms: float) -> float:
+        return 0.5 ** (max(0.0, now_ms - self.recent_ms) / MEMORY_MS)
+
     def _good(self, started_ms: float, ended_ms: float) -> bool:
         self.proven_ms = max(self.proven_ms, ended_ms)
         self.failure_weight *= GOOD_DECAY_RATIO
--- a/packages/cardamomrun-gateway/tests/test_dispatch.py
+++ b/packages/cardamomrun-gateway/tests/test_dispatch.py
@@ -3,11 +3,13 @@
 import asyncio
 
 import pytest
+from tornado.httputil import HTTPHeaders, RequestStartLine
 
 from cardamomrun_bench.scripted_server import ScriptedServer, Step, parse
 from cardamomrun_gateway.server_health import AttemptEnd
 
 from .builders import (
+    HOST,
     NAMES,
     SERVICE,
     answer,
@@ -334,3 +336,39 @@
             assert (await running.call("POST", "/b/x", b"other")).status == 200
 
     asyncio.run(main())
+
+
+def test_a_request_that_crosses_the_close_of_its_connection_is_answered():
+    """Guards against a stop that closes a connection and then runs its request."""
+
+    async def main():
+        server = ScriptedServer([OK])
+        async with gateway(server) as running:
+            reader, writer = await running.connect()
+            writer.write(request(connection="keep-alive"))
+            await reader.readuntil(b"\r\n\r\nok")
+            # Sent before the loop runs again: the bytes wait in the socket.
+            writer.write(request(connection="keep-alive"))
+            running.front._listener.refuse_new()
+            answered = await reader.read()
+            assert parse(answered).status == 200
+            assert len(server.heads) == 2
+
+    asyncio.run(main())
+
+
+def test_a_request_that_was_read_after_its_connection_closed_does_not_run():
+    async def main():
+        server = ScriptedServer([OK])
+        async with gateway(server) as running:
+            reader, writer = await running.connect()
+            writer.write(request(connection="keep-alive"))
+            await reader.readuntil(b"\r\n\r\nok")
+            (message,) = running.front._listener._callers._idle
+            message.connection.close()
+            line = RequestStartLine("GET", "/a/x", "HTTP/1.1")
+            await message.headers_received(line, HTTPHeaders({"Host": HOST}))
+            await asyncio.sleep(0.05)
+            assert len(server.heads) == 1
+
+    asyncio.run(main())
--- a/packages/cardamomrun-gateway/tests/test_server_health.py
+++ b/packages/cardamomrun-gateway/tests/test_server_health.py
@@ -10,6 +10,7 @@
 ENDS = {
     "one reset": ([RESET], True),
     "one refused connection": ([REFUSED], True),
+    "one broken off": ([AttemptEnd.BROKEN_OFF], False),
     "one error": ([ERROR], False),
     "two errors": ([ERROR, ERROR], True),
     "two errors with one good answer between": ([ERROR, GOOD, ERROR], True),
@@ -72,3 +73,15 @@
     health.note(GOOD, 500, 800)
     assert health.is_doubted
     assert health.trial_due_ms <= 800
+
+
+def test_the_expected_share_follows_recent_ends_and_recovers():
+    health = ServerHealth()
+    assert health.success_ratio(0) == 1.0
+    for _ in range(5):
+        health.note(RESET, 0, 1)
+    assert health.success_ratio(1) < 0.2
+    assert health.success_ratio(20_000) > 0.9
+    for index in range(20):
+        health.note(GOOD, 10 + index, 20 + index)
+    assert health.success_ratio(40) > 0.75
--- a/packages/cardamomrun-node/src/cardamomrun_node/gateway_node.py
+++ b/packages/cardamomrun-node/src/cardamomrun_node/gateway_node.py
@@ -34,7 +34,7 @@
 class GatewayNode:
     """One process of a fleet that runs a routing document.
 
-    `control` and `registry` are set on control instances, `addresses` on entry ones.
+    `control` and `registry` are set on control instances.
     """
 
     def __init__(
@@ -48,15 +48,15 @@
         self.table = RoutingTable(self.fleet.store)
         self.control: RoutingControl | None = None
         self.registry: ServerRegistry | None = None
-        self.addresses: AddressBook | None = None
         self._load = FleetLoad(clock, self.fleet.store)
+        self.addresses = AddressBook(settings, clock, self.fleet, self._load)
+        budget = RetryBudget(self._gateway, clock)
+        self._reports = LoadReports(settings, clock, self.fleet, self._load, budget)
         self._front: GatewayFront | None = None
         self._stack = AsyncExitStack()
         if Role.CONTROL in settings.roles:
             self.control = RoutingControl(settings, clock, self.fleet)
             self.registry = ServerRegistry(clock, self.fleet, self.control)
-        if Role.ENTRY in settings.roles:
-            self.addresses = AddressBook(settings, clock, self.fleet, self._load)
 
     @property
     def is_ready(self) -> bool:
@@ -72,6 +72,9 @@
         async with AsyncExitStack() as stack:
             await self.fleet.start()
             stack.push_async_callback(self.fleet.stop)
+            await self._reports.start(self.fleet.start_incarnation)
+            stack.callback(self._reports.stop)
+            self._run(self._reports.run, stack)
             if self.control is not None:
                 await self._start_control(self.control, stack)
             if Role.ENTRY in self._settings.roles:
@@ -96,17 +99,13 @@
 
     async def _start_entry(self, stack: AsyncExitStack) -> None:
         settings, clock, load = self._settings, self._clock, self._load
-        budget = RetryBudget(self._gateway, clock)
-        incarnation = self.fleet.start_incarnation
-        reports = LoadReports(settings, clock, self.fleet, load, budget, incarnation)
-        await reports.start()
-        stack.callback(reports.stop)
-        self._run(reports.run, stack)
         connections = ServerConnections(self._gateway, clock, load)
         attempt_tools = AttemptTools(
-            clock, self._names, connections, reports, RouteTimes()
+            clock, self._names, connections, self._reports, RouteTimes()
+        )
+        placement = Placement(
+            clock, load, settings.failure_domain, self._gateway.floor_ratio
         )
-        placement = Placement(clock, load, settings.failure_domain)
         guard = CrashGuard(clock, self.fleet)
         tools = DispatchTools(
             attempt_tools, self.table, load, placement, guard, Background()
--- a/packages/cardamomrun-requests/src/cardamomrun_requests/caller_listener.py
+++ b/packages/cardamomrun-requests/src/cardamomrun_requests/caller_listener.py
@@ -4,6 +4,7 @@
 import contextlib
 import errno
 import json
+import socket
 import weakref
 from collections.abc import Callable
 from typing import Any, Protocol
@@ -147,6 +148,17 @@
         super().__init__(*args, **kwargs)
         self.in_request = False
 
+    def has_unread(self) -> bool:
+        """Return True if bytes wait to be read, here or in the socket."""
+        if self.closed():
+            return False
+        if self._read_buffer_size > 0:
+            return True
+        try:
+            return bool(self.socket.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
     def write(self, data: bytes | memoryview) -> asyncio.Future[None]:
         if data == TORNADO_REFUSAL:
             if self.in_request:
@@ -203,10 +215,14 @@
         self._closing.add(server_conn)
 
     def close_idle(self) -> None:
-        """Close idle connections now and the others after their present request."""
+        """Close idle connections now and the others after their present request.
+
+        A connection on which bytes of a request wait is not idle any more.
+        """
         self._closed = True
         for message in list(self._idle):
-            message.connection.close()
+            if not message.has_unread():
+                message.connection.close()
 
 
 class _CallerMessage(HTTPMessageDelegate):
@@ -230,6 +246,9 @@
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
     ) -> None:
         assert isinstance(start_line, RequestStartLine)
+        if self.connection.stream is None or self.connection.stream.closed():
+            # It crossed the close of an idle connection: nobody would get the answer.
+            return
         self._callers.busy(self)
         self.mark_in_request(True)
         fault = None
@@ -261,6 +280,11 @@
         self.connection.set_close_callback(self._caller_left)
         self._task = self._front.begin(request, reply)
 
+    def has_unread(self) -> bool:
+        """Return True if bytes of the next request have arrived."""
+        stream = self.connection.stream
+        return isinstance(stream, _CallerStream) and stream.has_unread()
+
     def mark_in_request(self, in_request: bool) -> None:
         """Note whether a head was received whose answer is not finished."""
         stream = self.connection.stream
