Know slow servers by the answers of all instances, not overload by them

Change: overdue attempts at a full server are no evidence; a server's answer times are compared with its service's over all instances, where each instance knew only its own few.

--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/dispatch.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/dispatch.py
@@ -37,6 +37,8 @@
 HOLD_RATIO = 0.125
 # When to come back after a refusal: a slot gets free within about one answer time.
 RETRY_AFTER_RATIO = 0.5
+# An instance that has just started learns the document from its peers this soon.
+STARTING_S = 0.3
 # An answer that the server gives at the deadline is still on its way by then.
 LAST_ANSWER_MS = 40.0
 # Attempts that did not reach a server, or that it did not run, are not limited by the
@@ -127,7 +129,9 @@
         request = self._request
         document = self._tools.table.document
         if document is None:
-            raise _refused("no-document", "No routing document is known yet.", 1.0)
+            raise _refused(
+                "no-document", "No routing document is known yet.", STARTING_S
+            )
         host = request.headers.get("Host", "")
         route = self._tools.table.match(host, request.path)
         if route is None:
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/fleet_load.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/fleet_load.py
@@ -41,8 +41,12 @@
 # A server resets a request within a few milliseconds; an attempt that is older has
 # been accepted.
 ACCEPTED_MS = 15.0
-# Weight of a new answer time in the running mean of a server.
-LATENCY_WEIGHT = 0.1
+# Weights of a new answer time in the running means of a server and of its service. A
+# server answers a few requests a second, its service many times as many.
+SERVER_MEAN_WEIGHT = 0.15
+SERVICE_MEAN_WEIGHT = 0.01
+# One answer that takes long must not keep a server out of use.
+SLOWNESS_MAX = 8.0
 # How long an instance leaves a server alone that only it cannot reach.
 PATH_BLOCK_FIRST_MS = 1_000.0
 PATH_BLOCK_MAX_MS = 5_000.0
@@ -60,7 +64,7 @@
     own_count: int = 0
     others_count: int = 0
     health: ServerHealth = field(default_factory=ServerHealth)
-    slowness: float = 1.0
+    mean_ms: float | None = None
     blocked_until_ms: float = float("-inf")
     block_ms: float = PATH_BLOCK_FIRST_MS
 
@@ -73,9 +77,10 @@
         """Return True while the server is slow after its start."""
         return now_ms - self.known_since_ms < self.body.warm_up_ms
 
-    def note_latency(self, ratio: float) -> None:
-        """Take an answer time, as a ratio to what is usual for its route."""
-        self.slowness += LATENCY_WEIGHT * (ratio - self.slowness)
+    def note_duration(self, duration_ms: float) -> None:
+        """Take the time of a good answer."""
+        mean_ms = duration_ms if self.mean_ms is None else self.mean_ms
+        self.mean_ms = mean_ms + SERVER_MEAN_WEIGHT * (duration_ms - mean_ms)
 
 
 @dataclass(frozen=True)
@@ -139,6 +144,8 @@
         self._by_key: dict[int, Server] = {}
         self._by_service: dict[str, dict[ServerId, Server]] = {}
         self._peers: dict[InstanceId, _Peer] = {}
+        self._means_ms: dict[str, float] = {}
+        self._good_counts: dict[str, int] = {}
         self._changed = asyncio.Event()
         store.subscribe(Kind.ROUTED_SERVER, self._on_record)
         for record in store.all(Kind.ROUTED_SERVER):
@@ -190,27 +197,32 @@
         """Count an attempt of this instance."""
         server.own_count += 1
 
-    def ended(
-        self,
-        server: Server,
-        end: AttemptEnd,
-        started_ms: float,
-        usual_ms: float,
-    ) -> None:
+    def slowness(self, server: Server) -> float:
+        """Return how much longer a server takes than the others of its service."""
+        mean_ms = self._means_ms.get(server.body.service)
+        if mean_ms is None or server.mean_ms is None:
+            return 1.0
+        return min(SLOWNESS_MAX, server.mean_ms / mean_ms)
+
+    def ended(self, server: Server, end: AttemptEnd, started_ms: float) -> None:
         """Count the end of an attempt of this instance and judge the server by it."""
         now_ms = self._clock.now_ms()
         server.own_count -= 1
         self._notify()
         self._judge(server, end, started_ms, now_ms, "own")
         if end is AttemptEnd.GOOD:
-            server.note_latency((now_ms - started_ms) / usual_ms)
             server.block_ms = PATH_BLOCK_FIRST_MS
         elif end is AttemptEnd.UNREACHABLE:
             server.blocked_until_ms = now_ms + server.block_ms
             server.block_ms = min(PATH_BLOCK_MAX_MS, 2 * server.block_ms)
 
     def overdue(self, server: Server, started_ms: float) -> None:
-        """Judge a server by an attempt that takes much longer than usual."""
+        """Judge a server by an attempt that takes much longer than usual.
+
+        Not while it is full: requests then wait for each other, whoever runs them.
+        """
+        if server.in_work_count >= server.body.slots:
+            return
         now_ms = self._clock.now_ms()
         self._judge(server, AttemptEnd.OVERDUE, started_ms, now_ms, "own")
 
@@ -262,6 +274,8 @@
         ended_ms: float,
         source: str,
     ) -> None:
+        if end is AttemptEnd.GOOD:
+            self._note_duration(server, ended_ms - started_ms)
         if server.health.note(end, started_ms, ended_ms):
             state = "doubts" if server.health.is_doubted else "trusts"
             _log.info(
@@ -272,6 +286,15 @@
                 told_by=source,
             )
 
+    def _note_duration(self, server: Server, duration_ms: float) -> None:
+        server.note_duration(duration_ms)
+        service = server.body.service
+        count = self._good_counts[service] = self._good_counts.get(service, 0) + 1
+        weight = max(SERVICE_MEAN_WEIGHT, 1 / count)
+        mean_ms = self._means_ms.get(service, 0.0)
+        mean_ms += weight * (duration_ms - mean_ms)
+        self._means_ms[service] = max(1.0, mean_ms)
+
     def _on_record(self, record: Record) -> None:
         body: RoutedServerBody = record.content
         held = self._by_id.get(body.server_id)
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/load_reports.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/load_reports.py
@@ -196,13 +196,11 @@
         self._flush_soon()
         return token
 
-    def ended(
-        self, token: int, server: Server, end: AttemptEnd, usual_ms: float
-    ) -> None:
+    def ended(self, token: int, server: Server, end: AttemptEnd) -> None:
         """Count the end of an attempt."""
         key, started_ms = self._in_work.pop(token)
         self._tell(key, end, started_ms)
-        self._load.ended(server, end, started_ms, usual_ms)
+        self._load.ended(server, end, started_ms)
         if end in URGENT_ENDS:
             self._flush(is_urgent=True)
         else:
@@ -211,7 +209,8 @@
     def overdue(self, token: int, server: Server) -> None:
         """Count an attempt that takes much longer than usual and goes on."""
         key, started_ms = self._in_work[token]
-        self._tell(key, AttemptEnd.OVERDUE, started_ms)
+        if server.in_work_count < server.body.slots:
+            self._tell(key, AttemptEnd.OVERDUE, started_ms)
         self._load.overdue(server, started_ms)
         self._flush_soon()
 
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/placement.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/placement.py
@@ -210,7 +210,7 @@
     def _cost_ms(self, server: Server, wish: Wish, now_ms: float) -> float:
         """Return the expected time of an attempt, with what else it may cost."""
         slots = server.body.slots
-        work_ms = wish.usual_ms * server.slowness
+        work_ms = wish.usual_ms * self._load.slowness(server)
         if server.is_warming_up(now_ms):
             work_ms *= WARM_UP_FACTOR
         taken = server.in_work_count / slots
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_attempt.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_attempt.py
@@ -133,8 +133,7 @@
             return
         token, self._token = self._token, None
         end = self._verdict.end
-        usual_ms = self._tools.times.usual_ms(self._routed.route)
-        self._tools.reports.ended(token, self.server, end, usual_ms)
+        self._tools.reports.ended(token, self.server, end)
         if self._connection is not None:
             headers = self._verdict.headers
             self._tools.connections.release(self.server, self._connection, headers)
--- a/packages/cardamomrun-gateway/tests/load_play.py
+++ b/packages/cardamomrun-gateway/tests/load_play.py
@@ -236,7 +236,7 @@
         key, at_ms = instance.in_work.pop(token)
         sequence = next(instance.end_sequence)
         instance.ended.append((sequence, key, end, now_ms - at_ms, now_ms))
-        instance.load.ended(server, end, started_ms, self.play.work_ms)
+        instance.load.ended(server, end, started_ms)
         is_urgent = end is AttemptEnd.RESET
         self._tell(instance, is_urgent=is_urgent)
         if end is AttemptEnd.GOOD:
--- a/packages/cardamomrun-gateway/tests/test_dispatch.py
+++ b/packages/cardamomrun-gateway/tests/test_dispatch.py
@@ -261,7 +261,7 @@
             await asyncio.sleep(0.03)
             now_ms = running.clock.now_ms()
             for _ in range(8):
-                running.load.ended(held, AttemptEnd.GOOD, now_ms, 300.0)
+                running.load.ended(held, AttemptEnd.GOOD, now_ms)
             assert (await call).status == 200
 
     asyncio.run(main())
@@ -332,7 +332,7 @@
             now_ms = running.clock.now_ms()
             for _ in range(8):
                 held = running.load.get("b4")
-                running.load.ended(held, AttemptEnd.GOOD, now_ms, 300.0)
+                running.load.ended(held, AttemptEnd.GOOD, now_ms)
             assert (await running.call("POST", "/b/x", b"other")).status == 200
 
     asyncio.run(main())
--- a/packages/cardamomrun-gateway/tests/test_fleet_load.py
+++ b/packages/cardamomrun-gateway/tests/test_fleet_load.py
@@ -87,11 +87,35 @@
     """Guards against a lost path of one instance that takes a server from all."""
     server = load.get("b1")
     load.started(server)
-    load.ended(server, AttemptEnd.UNREACHABLE, clock.now_ms(), 300.0)
+    load.ended(server, AttemptEnd.UNREACHABLE, clock.now_ms())
     assert server.blocked_until_ms > clock.now_ms()
     assert not server.health.is_doubted
 
 
+def test_a_slow_server_is_known_by_the_answers_of_all_instances(load, store):
+    """Guards against a server that is slow for each of 44 instances in turn."""
+    store.put(server_record(server_body("b2")))
+    slow, usual = load.get("b1"), load.get("b2")
+    for sequence in range(1, 30):
+        ends = [
+            (2 * sequence, slow.key, AttemptEnd.GOOD, 1_500.0, 1.0),
+            (2 * sequence + 1, usual.key, AttemptEnd.GOOD, 300.0, 1.0),
+        ]
+        load.take(load_of("e2", sequence, ended=ends))
+    assert load.slowness(slow) > 1.5
+    assert load.slowness(usual) < 0.5
+
+
+def test_overdue_attempts_at_a_full_server_are_no_evidence(load, clock):
+    """Guards against an overload that puts one server after the other in doubt."""
+    server = load.get("b1")
+    for _ in range(4):
+        load.started(server)
+    for _ in range(5):
+        load.overdue(server, clock.now_ms() - 900)
+    assert not server.health.is_doubted
+
+
 def test_leaving_servers_take_no_work(load, store):
     draining = server_body("b1", phase=BackendPhase.DRAINING)
     held = load.get("b1")
--- a/packages/cardamomrun-gateway/tests/test_load_reports.py
+++ b/packages/cardamomrun-gateway/tests/test_load_reports.py
@@ -110,7 +110,7 @@
             first = instances[0]
             token = first.reports.started(first.server)
             await until(lambda: all(i.server.in_work_count == 1 for i in instances))
-            first.reports.ended(token, first.server, AttemptEnd.RESET, 300.0)
+            first.reports.ended(token, first.server, AttemptEnd.RESET)
             await until(lambda: all(i.server.in_work_count == 0 for i in instances))
             assert all(i.server.health.is_doubted for i in instances)
         finally:
