--- a/packages/cardamomrun-base/src/cardamomrun_base/settings.py
+++ b/packages/cardamomrun-base/src/cardamomrun_base/settings.py
@@ -109,7 +109,7 @@
     floor_ratio: Annotated[float, Field(ge=0, le=1)] = 0.7
     drain_ms: Annotated[int, Field(ge=100, le=600_000)] = 2_000
     grace_ms: Annotated[int, Field(ge=500, le=600_000)] = 6_000
-    report_idle_ms: Annotated[int, Field(ge=20, le=10_000)] = 250
+    report_idle_ms: Annotated[int, Field(ge=20, le=10_000)] = 400
     connection_idle_ms: Annotated[int, Field(ge=100, le=600_000)] = 4_000
 
 
