--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/placement.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/placement.py
@@ -25,7 +25,11 @@
 FAR_TRIAL_MS = 3_000.0
 # Servers in doubt that keep the service above its floor must be expected to serve at
 # least this share of requests that may run once; otherwise refusing them is better.
-FLOOR_SUCCESS_RATIO = 0.35
+FLOOR_SUCCESS_RATIO = 0.8
+# With more than this share of the servers in doubt, the cause is likely not theirs,
+# and a lower share is enough.
+SHARED_CAUSE_RATIO = 0.6
+SHARED_CAUSE_SUCCESS_RATIO = 0.35
 # A server that has not shown for a while that it accepts requests may have begun to
 # reset them. A request that may run once prefers proven servers; one that may be
 # repeated prefers the others, and so proves them.
@@ -155,6 +159,9 @@
         if missing_count <= 0:
             return []
         doubted = [server for server in servers if server.health.is_doubted]
+        least_ratio = FLOOR_SUCCESS_RATIO
+        if len(doubted) > len(servers) * SHARED_CAUSE_RATIO:
+            least_ratio = SHARED_CAUSE_SUCCESS_RATIO
         doubted.sort(key=lambda s: s.health.success_ratio(now_ms), reverse=True)
         return [
             server
@@ -162,7 +169,7 @@
             if server.in_work_count < server.body.slots
             and (
                 wish.may_fail
-                or server.health.success_ratio(now_ms) >= FLOOR_SUCCESS_RATIO
+                or server.health.success_ratio(now_ms) >= least_ratio
             )
         ]
 
--- a/packages/cardamomrun-gateway/tests/load_play.py
+++ b/packages/cardamomrun-gateway/tests/load_play.py
@@ -45,6 +45,8 @@
     sick_ratio: float = 0.3
     sick_every_ms: float = 9_000.0
     sick_fail_ratio: float = 0.85
+    broken_server_ratio: float = 0.0
+    broken_answer_ratio: float = 0.0
     report_delay_ms: float = 12.0
     urgent_delay_ms: float = 3.0
     report_loss_ratio: float = 0.0
@@ -79,6 +81,7 @@
         self.queue = deque()
         self.offset_ms = rng.uniform(0, play.sick_every_ms)
         self.sick_spans = {}
+        self.breaks_off = rng.random() < play.broken_server_ratio
 
     def is_sick(self, now_ms):
         span = int((now_ms + self.offset_ms) // self.play.sick_every_ms)
@@ -228,7 +231,9 @@
         real.running -= 1
         if real.queue:
             self._work(real, *real.queue.popleft())
-        self._end(request, server, token, started_ms, AttemptEnd.GOOD)
+        broken = real.breaks_off and self.rng.random() < self.play.broken_answer_ratio
+        end = AttemptEnd.BROKEN_OFF if broken else AttemptEnd.GOOD
+        self._end(request, server, token, started_ms, end)
 
     def _end(self, request, server, token, started_ms, end):
         now_ms = self.clock.now_ms()
--- a/packages/cardamomrun-gateway/tests/test_placement.py
+++ b/packages/cardamomrun-gateway/tests/test_placement.py
@@ -199,3 +199,22 @@
     assert outcome.served_ratio >= least
     lost = outcome.lost_by_kind[True] / max(1, outcome.lost_count)
     assert lost <= 0.5
+
+
+def test_lost_answers_of_most_servers_refuse_nobody():
+    """Guards against doubt that takes most servers from a loaded service.
+
+    Three in five servers lose two in five answers, so a quarter of the requests
+    cannot be saved; the others must not be refused for it.
+    """
+    outcome = play(
+        instance_count=12,
+        duration_ms=20_000.0,
+        rate_per_s=150.0,
+        sick_ratio=0.0,
+        broken_server_ratio=0.6,
+        broken_answer_ratio=0.4,
+        seed=7,
+    )
+    assert outcome.refused_count <= 0.01 * outcome.asked_count
+    assert outcome.served_ratio >= 0.75
