--- a/packages/cardamomrun-fleet/src/cardamomrun_fleet/fleet.py
+++ b/packages/cardamomrun-fleet/src/cardamomrun_fleet/fleet.py
@@ -64,6 +64,8 @@
 SNAPSHOT_PEER_COUNT = 2
 SNAPSHOT_WAIT_MS = 2_000
 SNAPSHOT_TIMEOUT_MS = 20_000
+# A peer that has not sent its snapshot by now may be cut off; another one is asked too.
+PULL_PATIENCE_MS = 300
 EXCHANGE_TIMEOUT_MS = 5_000
 EXCHANGE_JITTER_RATIO = 0.2
 # Bounds one exchange; the rest of a large difference follows in the next ones.
@@ -125,6 +127,7 @@
         self._dissemination = Dissemination(self._random)
         self._is_announcing = False
         self._pulled: set[InstanceId] = set()
+        self._pull_turns = asyncio.Semaphore(SNAPSHOT_PEER_COUNT)
         self._synced_ms: float | None = None
         self._caught_up = False
         self._started = False
@@ -440,6 +443,19 @@
         return len(self._pulled) >= needed
 
     async def _pull_snapshot(self, link: Link) -> None:
+        """Pull a snapshot unless enough other links bring one soon.
+
+        All links open at about the same time at a start, and each snapshot holds all
+        records.
+        """
+        async with self._pull_turns:
+            if len(self._pulled) >= SNAPSHOT_PEER_COUNT:
+                return
+            pull = asyncio.create_task(self._pull_from(link))
+            await asyncio.wait({pull}, timeout=PULL_PATIENCE_MS / MS_PER_S)
+        await pull
+
+    async def _pull_from(self, link: Link) -> None:
         with contextlib.suppress(UnavailableError):
             await link.request(SnapshotRequest(), timeout_ms=SNAPSHOT_TIMEOUT_MS)
             self._pulled.add(link.peer_id)
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/fleet_load.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/fleet_load.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import contextlib
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -146,7 +145,7 @@
         self._peers: dict[InstanceId, _Peer] = {}
         self._means_ms: dict[str, float] = {}
         self._good_counts: dict[str, int] = {}
-        self._changed = asyncio.Event()
+        self._waiters: set[asyncio.Future[None]] = set()
         store.subscribe(Kind.ROUTED_SERVER, self._on_record)
         for record in store.all(Kind.ROUTED_SERVER):
             self._on_record(record)
@@ -168,6 +167,13 @@
         peer = self._peers.get(instance_id)
         return None if peer is None else peer.heard_ms
 
+    def judged_end(self, instance_id: InstanceId, incarnation: int) -> int:
+        """Return the sequence of the last end of an instance that was judged here."""
+        peer = self._peers.get(instance_id)
+        if peer is None or peer.incarnation != incarnation:
+            return 0
+        return peer.last_end
+
     def take(self, load: InstanceLoad) -> None:
         """Merge the report of another instance; an old one is dropped."""
         now_ms = self._clock.now_ms()
@@ -228,10 +234,12 @@
 
     async def wait_changed(self, timeout_ms: float) -> None:
         """Return once the load or health of a server changed, or after a time."""
-        changed = self._changed
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(timeout_ms / MS_PER_S):
-                await changed.wait()
+        waiter = asyncio.get_running_loop().create_future()
+        self._waiters.add(waiter)
+        try:
+            await asyncio.wait({waiter}, timeout=timeout_ms / MS_PER_S)
+        finally:
+            self._waiters.discard(waiter)
 
     def drop_silent(self) -> None:
         """Forget the attempts of instances that stopped reporting."""
@@ -244,8 +252,10 @@
                 self._notify()
 
     def _notify(self) -> None:
-        self._changed.set()
-        self._changed = asyncio.Event()
+        waiters, self._waiters = self._waiters, set()
+        for waiter in waiters:
+            if not waiter.done():
+                waiter.set_result(None)
 
     def _forget(self, peer: _Peer | None) -> None:
         if peer is None:
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/load_reports.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/load_reports.py
@@ -51,6 +51,8 @@
 TOLD_ENDS_COUNT = 6
 # An end this old has been told several times.
 TOLD_ENDS_MS = 800.0
+# The retry budget counts over seconds.
+COUNTS_MS = 300.0
 # Members change over seconds; each report would read all records otherwise.
 TARGETS_MS = 250.0
 # Datagrams above this size are split on the way, and lost if any part is.
@@ -84,10 +86,17 @@
     return cbor2.dumps([*head, in_work, ended, counts])
 
 
-def decode_load(data: bytes) -> InstanceLoad:
-    """Return the report in `data`, or raise `ValueError`."""
+def decode_load(data: bytes, load: FleetLoad | None = None) -> InstanceLoad:
+    """Return the report in `data`, or raise `ValueError`.
+
+    With `load`, ends that it has judged already are left out: each end is told several
+    times, and decoding them all is most of the cost of a report.
+    """
     try:
         instance_id, incarnation, sequence, in_work, ended, counts = cbor2.loads(data)
+        judged = 0
+        if load is not None:
+            judged = load.judged_end(str(instance_id), int(incarnation))
         return InstanceLoad(
             str(instance_id),
             int(incarnation),
@@ -98,6 +107,7 @@
                     int(seq), int(key), AttemptEnd(end), float(took), float(age)
                 )
                 for seq, key, end, took, age in ended
+                if seq > judged
             ),
             tuple(ServiceCount(int(key), int(n), int(more)) for key, n, more in counts),
         )
@@ -133,6 +143,7 @@
             maxlen=TOLD_ENDS_COUNT
         )
         self._counts: dict[int, list[int]] = {}
+        self._counts_told_ms = float("-inf")
         self._transport: asyncio.DatagramTransport | None = None
         self._flush_due = False
         self._near: list[Address] = []
@@ -268,7 +279,7 @@
             self._send((URGENT_REPORT if is_urgent else REPORT) + body, relay)
 
     def _take(self, kind: bytes, body: bytes) -> None:
-        load = decode_load(body)
+        load = decode_load(body, self._load)
         if load.instance_id == self._settings.instance_id:
             return
         if kind in REPORTS:
@@ -321,9 +332,15 @@
                 EndedAttempt(sequence, key, end, duration_ms, now_ms - ended_ms)
                 for sequence, key, end, duration_ms, ended_ms in self._ended
             ),
-            tuple(ServiceCount(key, *counts) for key, counts in self._counts.items()),
+            self._counts_due(now_ms),
         )
 
+    def _counts_due(self, now_ms: float) -> tuple[ServiceCount, ...]:
+        if now_ms - self._counts_told_ms < COUNTS_MS:
+            return ()
+        self._counts_told_ms = now_ms
+        return tuple(ServiceCount(key, *counts) for key, counts in self._counts.items())
+
     def _send(self, data: bytes, address: Address) -> None:
         if self._transport is not None and not self._transport.is_closing():
             self._transport.sendto(data, address)
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/placement.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/placement.py
@@ -167,10 +167,7 @@
             server
             for server in doubted[:missing_count]
             if server.in_work_count < server.body.slots
-            and (
-                wish.may_fail
-                or server.health.success_ratio(now_ms) >= least_ratio
-            )
+            and (wish.may_fail or server.health.success_ratio(now_ms) >= least_ratio)
         ]
 
     def _needed_trial(
