--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/address_book.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/address_book.py
@@ -18,7 +18,12 @@
 
 
 class AddressBook:
-    """Knows which instances serve callers, by their records and their load reports."""
+    """Knows which instances serve callers, by their records and their load reports.
+
+    An instance is taken as dead if the others of its failure domain are heard and it
+    is not. Silence of a whole domain says more about the path to it, so the instances
+    heard last are named on.
+    """
 
     def __init__(
         self,
@@ -38,21 +43,30 @@
     def addresses(self, failure_domain: str) -> list[str]:
         """Return front addresses for a caller, those of its failure domain if any."""
         serving = [member for member in self._fleet.members() if _serves(member)]
-        heard = [member for member in serving if self._is_heard(member)]
-        members = heard or serving
+        members = self._alive(serving)
         near = [m for m in members if m.failure_domain == failure_domain]
         chosen = near if len(near) >= NEAR_COUNT else members
         self._random.shuffle(chosen)
         return [member.front_address for member in chosen[:MAX_ADDRESS_COUNT]]
 
-    def _is_heard(self, member: MemberBody) -> bool:
-        if member.instance_id == self._fleet.instance_id:
-            return True
-        heard_ms = self._load.heard_ms(member.instance_id)
-        if heard_ms is None:
-            return False
+    def _alive(self, members: list[MemberBody]) -> list[MemberBody]:
+        heard_ms = {m.instance_id: self._heard_ms(m) for m in members}
+        last_ms: dict[str, float] = {}
+        for member in members:
+            domain = member.failure_domain
+            last_ms[domain] = max(
+                last_ms.get(domain, float("-inf")), heard_ms[member.instance_id]
+            )
         limit_ms = self._gateway.report_idle_ms * MISSED_REPORTS_COUNT
-        return self._clock.now_ms() - heard_ms <= limit_ms
+        return [
+            member
+            for member in members
+            if heard_ms[member.instance_id] >= last_ms[member.failure_domain] - limit_ms
+        ]
+
+    def _heard_ms(self, member: MemberBody) -> float:
+        heard_ms = self._load.heard_ms(member.instance_id)
+        return float("-inf") if heard_ms is None else heard_ms
 
 
 def _serves(member: MemberBody) -> bool:
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/load_reports.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/load_reports.py
@@ -51,6 +51,10 @@
 TOLD_ENDS_COUNT = 6
 # An end this old has been told several times.
 TOLD_ENDS_MS = 800.0
+# A control instance that hears nothing for this long asks an instance other than the
+# relay to pass batches on to it, for `LISTEN_MS` each time.
+DEAF_MS = 500.0
+LISTEN_MS = 1_500.0
 # The retry budget counts over seconds.
 COUNTS_MS = 300.0
 # Members change over seconds; each report would read all records otherwise.
@@ -62,6 +66,7 @@
 NEAR_BATCH = b"\x03"
 FAR_BATCH = b"\x04"
 URGENT_FAR_BATCH = b"\x05"
+LISTEN = b"\x06"
 REPORTS = frozenset((REPORT, URGENT_REPORT))
 URGENT = frozenset((URGENT_REPORT, URGENT_FAR_BATCH))
 URGENT_ENDS = frozenset((AttemptEnd.RESET, AttemptEnd.REFUSED))
@@ -153,6 +158,8 @@
         self._collected: dict[InstanceId, bytes] = {}
         self._passed_on: dict[InstanceId, bytes] = {}
         self._batch_due = False
+        self._heard_batch_ms = float("-inf")
+        self._listeners: dict[Address, float] = {}
         self._targets_read_ms = float("-inf")
         self._sent_ms = float("-inf")
 
@@ -183,10 +190,28 @@
         sends = Role.ENTRY in self._settings.roles
         while True:
             self._load.drop_silent()
+            if not sends:
+                self._ask_if_deaf()
             if sends and self._clock.now_ms() - self._sent_ms >= idle_ms / 2:
                 self._flush()
             await self._clock.sleep_ms(idle_ms * self._random.uniform(0.8, 1.0))
 
+    def _ask_if_deaf(self) -> None:
+        now_ms = self._clock.now_ms()
+        if now_ms - self._heard_batch_ms < DEAF_MS:
+            return
+        self._read_targets()
+        candidates = self._own_relay.candidates
+        if candidates:
+            self._send(LISTEN, self._random.choice(candidates))
+
+    def _pass_to_listeners(self, data: bytes, now_ms: float) -> None:
+        for address, until_ms in list(self._listeners.items()):
+            if until_ms > now_ms:
+                self._send(data, address)
+            else:
+                del self._listeners[address]
+
     def request(self, service: str) -> None:
         """Count a request for a service."""
         self._count(service, 1, 0)
@@ -234,6 +259,12 @@
         if choice is not None:
             choice.heard(addr, now_ms)
         kind, body = data[:1], data[1:]
+        if kind == LISTEN:
+            self._listeners[addr] = now_ms + LISTEN_MS
+            return
+        if kind == NEAR_BATCH:
+            self._heard_batch_ms = now_ms
+            self._pass_to_listeners(data, now_ms)
         try:
             bodies = [body] if kind in REPORTS else cbor2.loads(body)
             for report in bodies:
@@ -309,6 +340,7 @@
         for data in _batches(everything):
             for address in self._near:
                 self._send(NEAR_BATCH + data, address)
+            self._pass_to_listeners(NEAR_BATCH + data, now_ms)
         relays = [choice.pick(now_ms) for choice in self._far_relays.values()]
         far_kind = URGENT_FAR_BATCH if is_urgent else FAR_BATCH
         for data in _batches(own):
--- a/packages/cardamomrun-gateway/tests/builders.py
+++ b/packages/cardamomrun-gateway/tests/builders.py
@@ -177,6 +177,23 @@
     return Wish(**(values | changes))
 
 
+def gateway_settings(name="e1", domain="kelowna-a", roles=(Role.ENTRY,), **changes):
+    values = {
+        "instance_id": name,
+        "region": "bc-interior",
+        "failure_domain": domain,
+        "roles": roles,
+        "host": ip_address("127.0.0.1"),
+        "front_port": 1,
+        "admin_port": 1,
+        "peer_port": 2,
+        "fleet": FleetSettings(trusts_network=True),
+        "directory_ttl_ms": 100,
+        "gateway": GatewaySettings(grace_ms=1_000),
+    }
+    return NodeSettings(**(values | changes))
+
+
 class OffsetClock(SystemClock):
     """The system clock, which a test can put forward."""
 
@@ -190,12 +207,7 @@
     """A gateway front before scripted servers, all on loopback addresses."""
 
     def __init__(self, content, bodies):
-        self.settings = NodeSettings(
-            "e1", "bc-interior", "kelowna-a", (Role.ENTRY,), ip_address("127.0.0.1"),
-            free_port(), 1, 2, FleetSettings(trusts_network=True),
-            directory_ttl_ms=100,
-            gateway=GatewaySettings(grace_ms=1_000),
-        )  # fmt: skip
+        self.settings = gateway_settings(front_port=free_port())
         self.clock = OffsetClock()
         self.fleet = FakeFleet("e1")
         self.store = self.fleet.store
--- a/packages/cardamomrun-gateway/tests/test_load_reports.py
+++ b/packages/cardamomrun-gateway/tests/test_load_reports.py
@@ -1,23 +1,25 @@
 import asyncio
 import socket
-from ipaddress import ip_address
+from dataclasses import replace
 
 import pytest
 
 from cardamomrun_base.clock import SystemClock
-from cardamomrun_base.settings import (
-    FleetSettings,
-    GatewaySettings,
-    NodeSettings,
-    Role,
-)
+from cardamomrun_base.settings import GatewaySettings, Role
 from cardamomrun_gateway.fleet_load import FleetLoad, ServiceCount
 from cardamomrun_gateway.load_reports import LoadReports, decode_load, encode_load
 from cardamomrun_gateway.report_relays import AVOID_MS, SILENT_MS, RelayChoice
 from cardamomrun_gateway.retry_budget import RetryBudget
 from cardamomrun_gateway.server_health import AttemptEnd
 
-from .builders import FakeFleet, load_of, member, server_body, server_record
+from .builders import (
+    FakeFleet,
+    gateway_settings,
+    load_of,
+    member,
+    server_body,
+    server_record,
+)
 
 WAIT_S = 5.0
 FIRST, SECOND = ("10.0.0.1", 1), ("10.0.0.2", 1)
@@ -62,13 +64,10 @@
 class Instance:
     """Reports of one instance over loopback datagrams."""
 
-    def __init__(self, name, domain, port):
+    def __init__(self, name, domain, port, roles=(Role.ENTRY,)):
         self.clock = SystemClock()
         self.fleet = FakeFleet(name)
-        self.settings = NodeSettings(
-            name, "bc-interior", domain, (Role.ENTRY,), ip_address("127.0.0.1"),
-            1, 2, port, FleetSettings(trusts_network=True),
-        )  # fmt: skip
+        self.settings = gateway_settings(name, domain, roles, peer_port=port)
         self.load = FleetLoad(self.clock, self.fleet.store)
         self.fleet.store.put(server_record(server_body("b1")))
         budget = RetryBudget(GatewaySettings(), self.clock)
@@ -120,6 +119,40 @@
     asyncio.run(main())
 
 
+def test_a_control_instance_hears_although_the_relay_does_not_reach_it():
+    """Guards against a directory that names dead instances while the relay is cut off."""
+
+    async def main():
+        ports = free_ports(4)
+        names = ["e0", "e1", "e2", "c1"]
+        listed = [
+            member(name, port=port) for name, port in zip(names, ports, strict=True)
+        ]
+        roles = {"c1": (Role.CONTROL,)}
+        listed[3] = replace(listed[3], roles=("control",))
+        instances = [
+            Instance(name, "kelowna-a", port, roles.get(name, (Role.ENTRY,)))
+            for name, port in zip(names, ports, strict=True)
+        ]
+        for instance in instances:
+            # No entry instance knows the control instance, so no relay sends to it.
+            instance.fleet.listed = (
+                listed if instance.fleet.instance_id == "c1" else (listed[:3])
+            )
+            await instance.reports.start(1)
+        tasks = [asyncio.create_task(i.reports.run()) for i in instances]
+        try:
+            heard = instances[3].load.heard_ms
+            await until(lambda: all(heard(name) for name in names[:3]))
+        finally:
+            for task in tasks:
+                task.cancel()
+            for instance in instances:
+                instance.reports.stop()
+
+    asyncio.run(main())
+
+
 async def until(condition):
     async with asyncio.timeout(WAIT_S):
         while not condition():
