--- /dev/null
+++ b/tests/adapter/test_calls.py
@@ -0,0 +1,160 @@
+"""Each call of the platform, answered by fakes of the product."""
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest
+
+from cardamomrun_base.errors import DocumentError, UnavailableError
+from cardamomrun_bench.scripted_server import free_port
+from cardamomrun_platform.calls import open_listeners
+from cardamomrun_platform.manifest import decode_manifest
+
+from .builders import check_in, manifest
+
+
+def unavailable():
+    return UnavailableError("no majority.", remedy="none")
+
+
+class FakeControl:
+    def __init__(self):
+        self.document = None
+        self.error = None
+
+    async def put(self, document, operator):
+        self._raise()
+        self.document = document
+
+    async def read(self):
+        self._raise()
+        return self.document
+
+    def _raise(self):
+        if self.error is not None:
+            raise self.error
+
+
+class FakeRegistry:
+    def __init__(self):
+        self.calls = []
+        self.error = None
+
+    async def announce(self, announcement):
+        if self.error is not None:
+            raise self.error
+        self.calls.append(("announce", announcement.server_id))
+
+    async def leave(self, server_id, incarnation):
+        if self.error is not None:
+            raise self.error
+        self.calls.append(("leave", server_id, incarnation))
+
+
+class FakeNode:
+    def __init__(self):
+        self.is_ready = True
+        self.control = FakeControl()
+        self.registry = FakeRegistry()
+        self.named = ["10.1.0.35:8144"]
+        self.addresses = SimpleNamespace(addresses=self._addresses)
+        self.asked = []
+
+    def _addresses(self, failure_domain):
+        self.asked.append(failure_domain)
+        return self.named
+
+
+def call(node, method, path, body=None):
+    """Serve all calls for one request; return its status and body."""
+
+    async def main():
+        address = f"127.0.0.1:{free_port()}"
+        metrics = f"127.0.0.1:{free_port()}"
+        settings = SimpleNamespace(
+            node=SimpleNamespace(directory_ttl_ms=1_000),
+            ready_address=address if "ready" in path else None,
+            directory_address=address if "resolve" in path else None,
+            control_address=address if "rpc" in path else None,
+            metrics_address=metrics,
+        )
+        listeners = open_listeners(settings, node)
+        try:
+            request = HTTPRequest(f"http://{address}{path}", method, body=body)
+            answer = await AsyncHTTPClient().fetch(request, raise_error=False)
+            return answer.code, answer.body
+        finally:
+            for listener in listeners:
+                listener.stop()
+
+    return asyncio.run(main())
+
+
+@pytest.mark.parametrize(("is_ready", "status"), [(True, 200), (False, 503)])
+def test_ready(is_ready, status):
+    node = FakeNode()
+    node.is_ready = is_ready
+    assert call(node, "GET", "/v1/ready")[0] == status
+
+
+def test_resolve_names_addresses_and_their_time_to_live():
+    node = FakeNode()
+    query = "name=a.example&region=bc-interior&zone=vernon-a"
+    status, body = call(node, "GET", f"/v1/resolve?{query}")
+    assert status == 200
+    assert body == b'{"addresses": ["10.1.0.35:8144"], "ttl_s": 1.0}'
+    assert node.asked == ["vernon-a"]
+
+
+def test_resolve_without_any_address_is_no_answer():
+    node = FakeNode()
+    node.named = []
+    assert call(node, "GET", "/v1/resolve?zone=vernon-a")[0] == 503
+
+
+PUT = "/v1/rpc?call=config.put"
+GET = "/v1/rpc?call=config.get"
+BEAT = "/v1/rpc?call=instances.heartbeat&of=i-1"
+LEAVE = "/v1/rpc?call=instances.deregister&of=i-1"
+# Call, body, error of the product, status.
+CALLS = {
+    "put": (PUT, manifest(), None, 200),
+    "put, unreadable": (PUT, manifest()[:-9], None, 400),
+    "put, invalid": (PUT, manifest(), DocumentError("odd.", remedy="none"), 400),
+    "put, no majority": (PUT, manifest(), unavailable(), 503),
+    "get, nothing yet": (GET, b"", None, 503),
+    "get, not sure": (GET, b"", unavailable(), 503),
+    "check-in": (BEAT, check_in(), None, 200),
+    "check-in, draining, no majority": (
+        BEAT, check_in(state="draining"), unavailable(), 503,
+    ),
+    "check-in, unreadable": (BEAT, b"{", None, 400),
+    "check-in, unknown state": (BEAT, check_in(state="odd"), None, 400),
+    "leave": (LEAVE, b"", None, 200),
+    "leave, no majority": (LEAVE, b"", unavailable(), 503),
+    "leave, unreadable": (LEAVE, b"{", None, 400),
+    "unknown call": ("/v1/rpc?call=odd", b"", None, 404),
+    "no call": ("/v1/rpc", b"", None, 404),
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("name", CALLS)
+def test_calls(name):
+    path, body, error, status = CALLS[name]
+    node = FakeNode()
+    node.control.error = node.registry.error = error
+    assert call(node, "POST", path, body)[0] == status
+
+
+def test_a_read_returns_the_bytes_that_were_put():
+    node = FakeNode()
+    node.control.document = decode_manifest(manifest("0000000a"))
+    assert call(node, "POST", GET, b"") == (200, manifest("0000000a"))
+
+
+def test_what_servers_say_reaches_the_registry():
+    node = FakeNode()
+    call(node, "POST", BEAT, check_in())
+    call(node, "POST", LEAVE, b'{"born": 7}')
+    assert node.registry.calls == [("announce", "i-1"), ("leave", "i-1", 7)]
