--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/fleet_load.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/fleet_load.py
@@ -72,6 +72,11 @@
         """Attempts of the whole fleet that have not ended."""
         return self.own_count + self.others_count
 
+    @property
+    def is_full(self) -> bool:
+        """True while all slots are taken."""
+        return self.in_work_count >= self.body.slots
+
     def is_warming_up(self, now_ms: float) -> bool:
         """Return True while the server is slow after its start."""
         return now_ms - self.known_since_ms < self.body.warm_up_ms
@@ -227,7 +232,7 @@
 
         Not while it is full: requests then wait for each other, whoever runs them.
         """
-        if server.in_work_count >= server.body.slots:
+        if server.is_full:
             return
         now_ms = self._clock.now_ms()
         self._judge(server, AttemptEnd.OVERDUE, started_ms, now_ms, "own")
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/load_reports.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/load_reports.py
@@ -12,13 +12,10 @@
 """
 
 import asyncio
-import itertools
 import random
-from collections import deque
 from collections.abc import Iterable
 from typing import Any
 
-import cbor2
 import xxhash
 
 from cardamomrun_base.clock import MS_PER_S, Clock
@@ -27,19 +24,20 @@
 from cardamomrun_base.logs import PartLog
 from cardamomrun_base.model import InstanceId, MemberPhase
 from cardamomrun_base.settings import GatewaySettings, NodeSettings, Role
-from cardamomrun_gateway.fleet_load import (
-    AttemptInWork,
-    EndedAttempt,
-    FleetLoad,
-    InstanceLoad,
-    Server,
-    ServiceCount,
+from cardamomrun_gateway.fleet_load import FleetLoad, Server
+from cardamomrun_gateway.load_messages import (
+    batches,
+    decode_load,
+    encode_load,
+    service_key,
+    split_batch,
 )
+from cardamomrun_gateway.own_load import OwnLoad
 from cardamomrun_gateway.report_relays import Address, RelayChoice
 from cardamomrun_gateway.retry_budget import RetryBudget
 from cardamomrun_gateway.server_health import AttemptEnd
 
-__all__ = ["LoadReports", "decode_load", "encode_load", "service_key"]
+__all__ = ["LoadReports"]
 
 # Starts and ends within this time leave in one datagram. Longer, and two instances
 # take the same free slot more often.
@@ -47,20 +45,12 @@
 # How long a relay collects reports that are not urgent; two hops take up to twice this.
 # Played loads serve as many callers as with reports that are not collected at all.
 COLLECT_MS = 25.0
-# Ends told again in each report, so that a few lost datagrams lose none.
-TOLD_ENDS_COUNT = 6
-# An end this old has been told several times.
-TOLD_ENDS_MS = 800.0
 # A control instance that hears nothing for this long asks an instance other than the
 # relay to pass batches on to it, for `LISTEN_MS` each time.
 DEAF_MS = 500.0
 LISTEN_MS = 1_500.0
-# The retry budget counts over seconds.
-COUNTS_MS = 300.0
 # Members change over seconds; each report would read all records otherwise.
 TARGETS_MS = 250.0
-# Datagrams above this size are split on the way, and lost if any part is.
-DATAGRAM_BYTES = 1_300
 REPORT = b"\x01"
 URGENT_REPORT = b"\x02"
 NEAR_BATCH = b"\x03"
@@ -74,52 +64,6 @@
 _log = PartLog("load")
 
 
-def service_key(service: str) -> int:
-    """Return the short name of a service in reports."""
-    return xxhash.xxh32_intdigest(service.encode())
-
-
-def encode_load(load: InstanceLoad) -> bytes:
-    """Return the CBOR form of a report; ages and durations in whole milliseconds."""
-    in_work = [[a.server_key, round(a.age_ms)] for a in load.in_work]
-    ended = [
-        [e.sequence, e.server_key, int(e.end), round(e.duration_ms), round(e.age_ms)]
-        for e in load.ended
-    ]
-    counts = [[c.service_key, c.request_count, c.extra_count] for c in load.counts]
-    head = [load.instance_id, load.incarnation, load.sequence]
-    return cbor2.dumps([*head, in_work, ended, counts])
-
-
-def decode_load(data: bytes, load: FleetLoad | None = None) -> InstanceLoad:
-    """Return the report in `data`, or raise `ValueError`.
-
-    With `load`, ends that it has judged already are left out: each end is told several
-    times, and decoding them all is most of the cost of a report.
-    """
-    try:
-        instance_id, incarnation, sequence, in_work, ended, counts = cbor2.loads(data)
-        judged = 0
-        if load is not None:
-            judged = load.judged_end(str(instance_id), int(incarnation))
-        return InstanceLoad(
-            str(instance_id),
-            int(incarnation),
-            int(sequence),
-            tuple(AttemptInWork(int(key), float(age)) for key, age in in_work),
-            tuple(
-                EndedAttempt(
-                    int(seq), int(key), AttemptEnd(end), float(took), float(age)
-                )
-                for seq, key, end, took, age in ended
-                if seq > judged
-            ),
-            tuple(ServiceCount(int(key), int(n), int(more)) for key, n, more in counts),
-        )
-    except (ValueError, TypeError, cbor2.CBORError) as error:
-        raise ValueError(f"not a load report: {error}") from error
-
-
 class LoadReports(asyncio.DatagramProtocol):
     """Sends and receives load reports on the peer port."""
 
@@ -138,17 +82,8 @@
         self._fleet = fleet
         self._load = load
         self._budget = budget
-        self._incarnation = 0
         self._random = randomness or random.Random()
-        self._tokens = itertools.count(1)
-        self._sequences = itertools.count(1)
-        self._end_sequences = itertools.count(1)
-        self._in_work: dict[int, tuple[int, float]] = {}
-        self._ended: deque[tuple[int, int, AttemptEnd, float, float]] = deque(
-            maxlen=TOLD_ENDS_COUNT
-        )
-        self._counts: dict[int, list[int]] = {}
-        self._counts_told_ms = float("-inf")
+        self._own = OwnLoad(clock, settings.instance_id)
         self._transport: asyncio.DatagramTransport | None = None
         self._flush_due = False
         self._near: list[Address] = []
@@ -165,7 +100,7 @@
 
     async def start(self, incarnation: int) -> None:
         """Open the port in this run of the instance. Raises `AddressInUseError`."""
-        self._incarnation = incarnation
+        self._own.incarnation = incarnation
         place = (str(self._settings.host), self._settings.peer_port)
         loop = asyncio.get_running_loop()
         try:
@@ -226,16 +161,14 @@
 
     def started(self, server: Server) -> int:
         """Count an attempt in work; return the token to end it."""
-        token = next(self._tokens)
-        self._in_work[token] = (server.key, self._clock.now_ms())
+        token = self._own.started(server.key)
         self._load.started(server)
         self._flush_soon()
         return token
 
     def ended(self, token: int, server: Server, end: AttemptEnd) -> None:
         """Count the end of an attempt."""
-        key, started_ms = self._in_work.pop(token)
-        self._tell(key, end, started_ms)
+        started_ms = self._own.ended(token, end)
         self._load.ended(server, end, started_ms)
         if end in URGENT_ENDS:
             self._flush(is_urgent=True)
@@ -244,9 +177,7 @@
 
     def overdue(self, token: int, server: Server) -> None:
         """Count an attempt that takes much longer than usual and goes on."""
-        key, started_ms = self._in_work[token]
-        if server.in_work_count < server.body.slots:
-            self._tell(key, AttemptEnd.OVERDUE, started_ms)
+        started_ms = self._own.overdue(token, is_told=not server.is_full)
         self._load.overdue(server, started_ms)
         self._flush_soon()
 
@@ -266,10 +197,10 @@
             self._heard_batch_ms = now_ms
             self._pass_to_listeners(data, now_ms)
         try:
-            bodies = [body] if kind in REPORTS else cbor2.loads(body)
-            for report in bodies:
+            reports = [body] if kind in REPORTS else split_batch(body)
+            for report in reports:
                 self._take(kind, report)
-        except (ValueError, TypeError, cbor2.CBORError) as error:
+        except ValueError as error:
             _log.warning(f"a datagram was dropped: {error}")
         if kind in URGENT:
             self._send_batches(is_urgent=True)
@@ -279,16 +210,9 @@
 
     def _count(self, service: str, requests: int, extras: int) -> None:
         key = service_key(service)
-        counts = self._counts.setdefault(key, [0, 0])
-        counts[0] += requests
-        counts[1] += extras
+        self._own.count(key, requests, extras)
         self._budget.count(key, requests, extras)
 
-    def _tell(self, key: int, end: AttemptEnd, started_ms: float) -> None:
-        now_ms = self._clock.now_ms()
-        sequence = next(self._end_sequences)
-        self._ended.append((sequence, key, end, now_ms - started_ms, now_ms))
-
     def _flush_soon(self) -> None:
         if not self._flush_due and self._transport is not None:
             self._flush_due = True
@@ -299,7 +223,7 @@
         self._flush_due = False
         now_ms = self._sent_ms = self._clock.now_ms()
         self._read_targets()
-        body = encode_load(self._own_load())
+        body = encode_load(self._own.report())
         self._own_relay.heard(self._own_address, now_ms)
         relay = self._own_relay.pick(now_ms)
         if relay is None or relay == self._own_address:
@@ -337,42 +261,17 @@
         everything = [*own, *self._passed_on.values()]
         self._collected = {}
         self._passed_on = {}
-        for data in _batches(everything):
+        for data in batches(everything):
             for address in self._near:
                 self._send(NEAR_BATCH + data, address)
             self._pass_to_listeners(NEAR_BATCH + data, now_ms)
         relays = [choice.pick(now_ms) for choice in self._far_relays.values()]
         far_kind = URGENT_FAR_BATCH if is_urgent else FAR_BATCH
-        for data in _batches(own):
+        for data in batches(own):
             for relay in relays:
                 if relay is not None:
                     self._send(far_kind + data, relay)
 
-    def _own_load(self) -> InstanceLoad:
-        now_ms = self._clock.now_ms()
-        while self._ended and now_ms - self._ended[0][-1] > TOLD_ENDS_MS:
-            self._ended.popleft()
-        return InstanceLoad(
-            self._settings.instance_id,
-            self._incarnation,
-            next(self._sequences),
-            tuple(
-                AttemptInWork(key, now_ms - started_ms)
-                for key, started_ms in self._in_work.values()
-            ),
-            tuple(
-                EndedAttempt(sequence, key, end, duration_ms, now_ms - ended_ms)
-                for sequence, key, end, duration_ms, ended_ms in self._ended
-            ),
-            self._counts_due(now_ms),
-        )
-
-    def _counts_due(self, now_ms: float) -> tuple[ServiceCount, ...]:
-        if now_ms - self._counts_told_ms < COUNTS_MS:
-            return ()
-        self._counts_told_ms = now_ms
-        return tuple(ServiceCount(key, *counts) for key, counts in self._counts.items())
-
     def _send(self, data: bytes, address: Address) -> None:
         if self._transport is not None and not self._transport.is_closing():
             self._transport.sendto(data, address)
@@ -416,20 +315,6 @@
     )
 
 
-def _batches(bodies: list[bytes]) -> Iterable[bytes]:
-    """Yield the reports in lists that fit a datagram."""
-    batch: list[bytes] = []
-    size_bytes = 0
-    for body in bodies:
-        if batch and size_bytes + len(body) > DATAGRAM_BYTES:
-            yield cbor2.dumps(batch)
-            batch, size_bytes = [], 0
-        batch.append(body)
-        size_bytes += len(body)
-    if batch:
-        yield cbor2.dumps(batch)
-
-
 def _address(peer_address: str) -> Address:
     host, _, port = peer_address.rpartition(":")
     return host.strip("[]"), int(port)
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/placement.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/placement.py
@@ -111,7 +111,7 @@
         if trial is not None:
             return Choice(trial, Reason.TRIAL)
         trusted = [server for server in servers if not server.health.is_doubted]
-        free = [s for s in trusted if s.in_work_count < s.body.slots]
+        free = [server for server in trusted if not server.is_full]
         if free:
             return Choice(self._best(free, wish, now_ms), Reason.BEST)
         needed = self._needed_trial(servers, wish, now_ms)
@@ -166,7 +166,7 @@
         return [
             server
             for server in doubted[:missing_count]
-            if server.in_work_count < server.body.slots
+            if not server.is_full
             and (wish.may_fail or server.health.success_ratio(now_ms) >= least_ratio)
         ]
 
--- a/packages/cardamomrun-gateway/tests/test_load_reports.py
+++ b/packages/cardamomrun-gateway/tests/test_load_reports.py
@@ -7,7 +7,13 @@
 from cardamomrun_base.clock import SystemClock
 from cardamomrun_base.settings import GatewaySettings, Role
 from cardamomrun_gateway.fleet_load import FleetLoad, ServiceCount
-from cardamomrun_gateway.load_reports import LoadReports, decode_load, encode_load
+from cardamomrun_gateway.load_messages import (
+    batches,
+    decode_load,
+    encode_load,
+    split_batch,
+)
+from cardamomrun_gateway.load_reports import LoadReports
 from cardamomrun_gateway.report_relays import AVOID_MS, SILENT_MS, RelayChoice
 from cardamomrun_gateway.retry_budget import RetryBudget
 from cardamomrun_gateway.server_health import AttemptEnd
@@ -39,6 +45,19 @@
         decode_load(data)
 
 
+def test_batches_fit_datagrams_and_lose_nothing():
+    bodies = [bytes([n]) * 400 for n in range(10)]
+    parts = list(batches(bodies))
+    assert all(len(part) <= 1_400 for part in parts)
+    assert [body for part in parts for body in split_batch(part)] == bodies
+
+
+@pytest.mark.parametrize("data", [b"", b"\xff", b"\xa0", b"\x81\x01"])
+def test_other_bytes_are_no_batch(data):
+    with pytest.raises(ValueError, match="not a batch"):
+        split_batch(data)
+
+
 def test_a_silent_relay_is_left_for_the_next_one():
     """Guards against a domain that hears nothing while its relay is dead."""
     choice = RelayChoice()
