--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_attempt.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_attempt.py
@@ -4,7 +4,6 @@
 from dataclasses import dataclass, field
 
 from tornado.httputil import HTTPHeaders, ResponseStartLine
-from tornado.iostream import StreamClosedError
 
 from cardamomrun_base.clock import Clock
 from cardamomrun_base.headers import GatewayHeaders
@@ -17,6 +16,7 @@
 from cardamomrun_gateway.server_health import AttemptEnd
 from cardamomrun_requests.body_channel import BodyChannel, BodyCutError
 from cardamomrun_requests.framing import without_body
+from cardamomrun_requests.sending import cancel_sending, raise_caller_fault
 from cardamomrun_requests.upstream import (
     Answer,
     ConnectError,
@@ -179,10 +179,10 @@
             either: set[asyncio.Future] = {answer.head, sending}
             await asyncio.wait(either, return_when=asyncio.FIRST_COMPLETED)
             if not answer.head.done():
-                _raise_caller_fault(sending)
+                raise_caller_fault(sending)
                 await asyncio.wait({answer.head})
         finally:
-            await _cancel(sending)
+            await cancel_sending(sending)
         head = answer.head.result()
         if head is None:
             return self._no_head(answer)
@@ -271,20 +271,3 @@
         return max(0.0, float(headers["Retry-After"]))
     except (KeyError, ValueError):
         return None
-
-
-def _raise_caller_fault(sending: "asyncio.Task[None]") -> None:
-    """Raise if the upload ended by the caller's doing, not by the server's."""
-    if not sending.done() or sending.cancelled():
-        return
-    error = sending.exception()
-    if error is not None and not isinstance(error, StreamClosedError):
-        raise error
-
-
-async def _cancel(task: "asyncio.Task[None]") -> None:
-    task.cancel()
-    await asyncio.wait({task})
-    if not task.cancelled():
-        # Retrieved here so that the loop does not report it as lost.
-        task.exception()
--- a/packages/cardamomrun-requests/src/cardamomrun_requests/attempt.py
+++ b/packages/cardamomrun-requests/src/cardamomrun_requests/attempt.py
@@ -5,7 +5,6 @@
 from dataclasses import dataclass
 
 from tornado.httputil import HTTPHeaders, ResponseStartLine
-from tornado.iostream import StreamClosedError
 
 from cardamomrun_base import headers as names
 from cardamomrun_base.clock import MS_PER_S
@@ -23,6 +22,7 @@
 from cardamomrun_requests.reply import Reply
 from cardamomrun_requests.request import CallerRequest
 from cardamomrun_requests.request_path import RequestPath
+from cardamomrun_requests.sending import cancel_sending, raise_caller_fault
 from cardamomrun_requests.upstream import Answer, ConnectError, UpstreamConnection
 
 __all__ = ["METHODS_WITH_BODY", "AttemptRunner", "Failure", "RequestContext"]
@@ -185,7 +185,7 @@
             raise
         finally:
             self._state.server_ms += self._path.clock.now_ms() - sent_ms
-            await _cancel(sending)
+            await cancel_sending(sending)
         if isinstance(head, Failure):
             return head
         evidence.judge_head(*head, self._elapsed_ms(upload), self._route)
@@ -259,7 +259,7 @@
             )
             if sending.done():
                 waited.discard(sending)
-                _raise_caller_fault(sending)
+                raise_caller_fault(sending)
         return answer.head.result() or self._no_head(answer, evidence)
 
     def _timed_out(self, evidence: Evidence) -> Failure:
@@ -311,18 +311,3 @@
                 break
             await self._reply.write(chunk)
         self._claim.done_status = start_line.code
-
-
-def _raise_caller_fault(sending: "asyncio.Task[None]") -> None:
-    """Raise if the upload ended by the caller's doing, not by the server's."""
-    error = None if sending.cancelled() else sending.exception()
-    if error is not None and not isinstance(error, StreamClosedError):
-        raise error
-
-
-async def _cancel(task: "asyncio.Task[None]") -> None:
-    task.cancel()
-    await asyncio.wait({task})
-    if not task.cancelled():
-        # Retrieved here so that the loop does not report it as lost.
-        task.exception()
