--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/crash_guard.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/crash_guard.py
@@ -21,7 +21,7 @@
 # A dead server's machine refuses at once.
 CONFIRM_TIMEOUT_MS = 200.0
 
-_log = PartLog("crash-guard")
+_log = PartLog("crashes")
 
 
 class CrashGuard:
