--- a/packages/cardamomrun-base/src/cardamomrun_base/settings.py
+++ b/packages/cardamomrun-base/src/cardamomrun_base/settings.py
@@ -97,8 +97,7 @@
 
     The retry budget bounds the further attempts of the whole fleet for a service:
     `retry_ratio` of its requests in `retry_window_ms`, and `retry_slack_count` more.
-    `drain_ms` is how long a leaving backend server still serves, and `grace_ms` the
-    time that a stop of an instance may take.
+    `grace_ms` is the time that a stop of an instance may take.
     """
 
     __pydantic_config__ = STRICT
@@ -107,7 +106,6 @@
     retry_window_ms: Annotated[int, Field(ge=1_000, le=600_000)] = 10_000
     retry_slack_count: Annotated[int, Field(ge=0, le=100_000)] = 20
     floor_ratio: Annotated[float, Field(ge=0, le=1)] = 0.7
-    drain_ms: Annotated[int, Field(ge=100, le=600_000)] = 2_000
     grace_ms: Annotated[int, Field(ge=500, le=600_000)] = 6_000
     report_idle_ms: Annotated[int, Field(ge=20, le=10_000)] = 400
     connection_idle_ms: Annotated[int, Field(ge=100, le=600_000)] = 4_000
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/dispatch.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/dispatch.py
@@ -37,6 +37,10 @@
 HOLD_RATIO = 0.125
 # When to come back after a refusal: a slot gets free within about one answer time.
 RETRY_AFTER_RATIO = 0.5
+# After a refusal that says nothing about the load, another server has room at once.
+RETRY_SOON_S = 0.2
+# A request that crashed servers stays refused for minutes.
+RETRY_AFTER_CRASHES_S = 60.0
 # An instance that has just started learns the document from its peers this soon.
 STARTING_S = 0.3
 # An answer that the server gives at the deadline is still on its way by then.
@@ -152,7 +156,11 @@
         self._fingerprint = request.fingerprint(self._service, request.remote_ip)
         if self._tools.crash_guard.is_stopped(self._fingerprint):
             metrics.REFUSALS.labels(self._service, "crashes").inc()
-            raise _refused("crashes", "Backend servers died of this request.", 60.0)
+            raise _refused(
+                "crashes",
+                "Backend servers died of this request.",
+                RETRY_AFTER_CRASHES_S,
+            )
 
     def _allowed_ms(self, route: RoutingRoute) -> float:
         given = self._request.headers.get(self._tools.attempt.names.deadline_ms, "")
@@ -360,9 +368,11 @@
 
     def _failed(self, last: NotSent | Lost) -> _EndedError:
         if isinstance(last, NotSent) and not self._maybe_run:
-            usual_s = 0.2 if last.retry_after_s is None else last.retry_after_s
+            retry_after_s = last.retry_after_s
+            if retry_after_s is None:
+                retry_after_s = RETRY_SOON_S
             metrics.REFUSALS.labels(self._service, "not-run").inc()
-            return _refused("not-run", f"Not run: {last.reason}.", usual_s)
+            return _refused("not-run", f"Not run: {last.reason}.", retry_after_s)
         outcome = Unknown(
             f"Unknown whether it was run: {last.reason}.",
             "ask the application before sending it again",
@@ -376,7 +386,8 @@
                 "No answer came in time.", "ask the application first", 504
             )
             return _EndedError("timeout", outcome)
-        return _refused("deadline", "The time ended before a server had room.", 0.2)
+        reason = "The time ended before a server had room."
+        return _refused("deadline", reason, RETRY_SOON_S)
 
     async def _pass_on(self, answered: Answered) -> None:
         headers = HTTPHeaders(answered.headers)
