--- a/packages/cardamomrun-base/src/cardamomrun_base/settings.py
+++ b/packages/cardamomrun-base/src/cardamomrun_base/settings.py
@@ -130,6 +130,9 @@
     control: ControlSettings | None = None
     tls: TlsSettings | None = None
     directory_ttl_ms: Annotated[int, Field(ge=100, le=600_000)] = 5_000
+    # Other instances name a stopping one until they hear of it, which takes well under a
+    # second over connected links.
+    departure_heard_ms: Annotated[int, Field(ge=0, le=60_000)] = 1_000
     directory_count: Annotated[int, Field(ge=1, le=100)] = 4
     report_ms: Annotated[int, Field(ge=50, le=60_000)] = 500
     announcement_ttl_ms: Annotated[int, Field(ge=200, le=60_000)] = 2_500
--- a/packages/cardamomrun-control/src/cardamomrun_control/agreement.py
+++ b/packages/cardamomrun-control/src/cardamomrun_control/agreement.py
@@ -10,6 +10,7 @@
 import asyncio
 from dataclasses import replace
 
+from cardamomrun_base.clock import MS_PER_S
 from cardamomrun_base.model import Kind
 from cardamomrun_control.elections import Elections
 from cardamomrun_control.following import Following
@@ -17,6 +18,7 @@
     AppendRequest,
     IdentityAnswer,
     IdentityRequest,
+    Resignation,
     SnapshotChunk,
     VoteRequest,
 )
@@ -25,6 +27,9 @@
 
 __all__ = ["Agreement", "Status", "VoterStatus"]
 
+# Others that can be reached answer within a round trip of any network it is meant for.
+HAND_OVER_MS = 200.0
+
 
 class Agreement(Elections, Following):
     """One replica of the log and of the state that the log makes.
@@ -41,11 +46,18 @@
         self._fleet.handle(AppendRequest, self._on_append)
         self._fleet.handle(SnapshotChunk, self._on_chunk)
         self._fleet.handle(IdentityRequest, self._on_identity)
+        self._fleet.handle(Resignation, self._on_resignation)
         self._fleet.handle(StatusRequest, self._on_status)
         # A replica that restarts may have promised a leader its lease just before.
         self._hear()
         self._spawn(self._run_elections())
 
+    async def hand_over(self) -> None:
+        """Stop leading before a planned stop, so that another one leads at once."""
+        told = self._resign() if self.is_leader else []
+        if told:
+            await asyncio.wait(told, timeout=HAND_OVER_MS / MS_PER_S)
+
     async def stop(self) -> None:
         """End all tasks and close the log."""
         self._stop_leading("this instance stops")
--- a/packages/cardamomrun-control/src/cardamomrun_control/elections.py
+++ b/packages/cardamomrun-control/src/cardamomrun_control/elections.py
@@ -1,7 +1,9 @@
 """Elections with pre-vote (Ongaro's thesis, section 9.6)."""
 
 import asyncio
+from contextlib import suppress
 
+from cardamomrun_base.clock import MS_PER_S
 from cardamomrun_base.errors import StorageError
 from cardamomrun_base.logs import PartLog
 from cardamomrun_control.messages import Envelope, VoteAnswer, VoteRequest
@@ -27,10 +29,16 @@
                 self._start_counting_learners()
                 await self._clock.sleep_ms(self._settings.heartbeat_ms)
             elif due_ms > 0:
-                await self._clock.sleep_ms(due_ms)
+                await self._wait_for_election(due_ms)
             else:
                 await self._try_election()
 
+    async def _wait_for_election(self, due_ms: float) -> None:
+        self._election_wakeup.clear()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(due_ms / MS_PER_S):
+                await self._election_wakeup.wait()
+
     async def _try_election(self) -> None:
         try:
             await self._seek_election()
--- a/packages/cardamomrun-control/src/cardamomrun_control/following.py
+++ b/packages/cardamomrun-control/src/cardamomrun_control/following.py
@@ -1,11 +1,13 @@
 """Following: entries and snapshots received from a leader."""
 
 from cardamomrun_base.codec import CodecError, decode
+from cardamomrun_base.messages import Settled
 from cardamomrun_control.commits import Commits
 from cardamomrun_control.messages import (
     AppendAnswer,
     AppendRequest,
     Envelope,
+    Resignation,
     SnapshotAnswer,
     SnapshotChunk,
 )
@@ -90,6 +92,14 @@
             index -= 1
         return index
 
+    async def _on_resignation(self, peer_id: str, message: Resignation) -> Settled:
+        envelope = message.envelope
+        is_current = envelope.term == self.term and self._leader_id == peer_id
+        if is_current and not self._is_foreign(envelope):
+            self._leader_id = None
+            self._hear_no_leader()
+        return Settled()
+
     async def _truncate(self, index: int) -> None:
         assert index > self._commit_index, "a committed entry would be removed"
         await self._durable.truncate_from(index)
--- a/packages/cardamomrun-control/src/cardamomrun_control/lease.py
+++ b/packages/cardamomrun-control/src/cardamomrun_control/lease.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from cardamomrun_base.logs import PartLog
+from cardamomrun_control.messages import Resignation
 from cardamomrun_control.replica import Replica
 
 __all__ = ["Lease"]
@@ -72,10 +73,28 @@
         silent_ms = self._clock.now_ms() - heard_ms
         if silent_ms >= self._settings.election_timeout_ms:
             _log.warning(f"no majority answered for {silent_ms:.0f} ms")
-            self._become_follower(None)
+            self._resign()
         elif self._majority_count() == 1:
             self._extend_lease()
 
+    def _resign(self) -> list[asyncio.Task]:
+        """Stop leading, and tell the others, who need not wait for silence then.
+
+        A leader that hears nobody may still be heard.
+        """
+        others = [voter for voter in self._counting() if not self._is_own(voter)]
+        term = self.term
+        self._become_follower(None)
+        return [
+            self._spawn(
+                self._request(
+                    voter.instance_id,
+                    Resignation(self._envelope(term, voter.replica_id)),
+                )
+            )
+            for voter in others
+        ]
+
     def _hears_leader(self) -> bool:
         if self.is_leader:
             self._check_quorum()
--- a/packages/cardamomrun-control/src/cardamomrun_control/messages.py
+++ b/packages/cardamomrun-control/src/cardamomrun_control/messages.py
@@ -14,6 +14,7 @@
     "AppendRequest",
     "IdentityAnswer",
     "IdentityRequest",
+    "Resignation",
     "SnapshotAnswer",
     "SnapshotChunk",
     "VoteAnswer",
@@ -78,6 +79,14 @@
     match_index: int
 
 
+@message("control-resignation")
+@dataclass(frozen=True)
+class Resignation:
+    """Tells that the sender no longer leads in its term and holds no lease."""
+
+    envelope: Envelope
+
+
 @message("control-snapshot-chunk")
 @dataclass(frozen=True)
 class SnapshotChunk:
--- a/packages/cardamomrun-control/src/cardamomrun_control/replica.py
+++ b/packages/cardamomrun-control/src/cardamomrun_control/replica.py
@@ -24,6 +24,9 @@
 # Requests are repeated within the election timeout, so that one lost message does not
 # cost the leader a follower.
 REQUEST_TIMEOUT_RATIO = 1 / 3
+# Candidates that all know that nobody leads start within this share of the election
+# timeout; a round of votes takes a small part of it.
+RESIGNED_RATIO = 0.3
 
 _log = PartLog("control")
 
@@ -87,6 +90,7 @@
         self._heard_ms = 0.0
         self._first_leader_ms: float | None = None
         self._election_due_ms = 0.0
+        self._election_wakeup = asyncio.Event()
         self._lease_until_ms = float("-inf")
         self._lease_since_ms = 0.0
         self._started_leading_ms = 0.0
@@ -235,6 +239,16 @@
         timeout_ms = self._settings.election_timeout_ms
         self._election_due_ms = self._heard_ms + timeout_ms * (1 + self._rng.random())
 
+    def _hear_no_leader(self) -> None:
+        """Note that nobody leads; candidates start at different times all the same."""
+        now_ms = self._clock.now_ms()
+        timeout_ms = self._settings.election_timeout_ms
+        self._heard_ms = min(self._heard_ms, now_ms - timeout_ms)
+        self._election_due_ms = (
+            now_ms + timeout_ms * RESIGNED_RATIO * self._rng.random()
+        )
+        self._election_wakeup.set()
+
     def _hear_vote(self) -> None:
         timeout_ms = self._settings.election_timeout_ms
         now_ms = self._clock.now_ms()
--- a/packages/cardamomrun-control/src/cardamomrun_control/routing_service.py
+++ b/packages/cardamomrun-control/src/cardamomrun_control/routing_service.py
@@ -132,6 +132,7 @@
         for task in self._tasks:
             with suppress(asyncio.CancelledError):
                 await task
+        await self.agreement.hand_over()
         await self.agreement.stop()
 
     async def put(self, document: RoutingDocument, operator: str) -> PutRoutingResult:
--- a/packages/cardamomrun-control/src/cardamomrun_control/service.py
+++ b/packages/cardamomrun-control/src/cardamomrun_control/service.py
@@ -69,6 +69,7 @@
             self._task.cancel()
             with suppress(asyncio.CancelledError):
                 await self._task
+        await self._agreement.hand_over()
         await self._agreement.stop()
         await self._checked.stop()
 
--- a/packages/cardamomrun-control/tests/test_agreement.py
+++ b/packages/cardamomrun-control/tests/test_agreement.py
@@ -289,3 +289,36 @@
         except UnavailableError:
             return
         done.append(operator)
+
+
+@pytest.mark.parametrize("seed", range(120))
+@virtual_time
+async def test_a_leader_without_a_majority_is_replaced_in_time(tmp_path, seed):
+    """Guards against followers that wait on for a leader which no longer hears them."""
+    async with Cluster(
+        tmp_path, network=Network(seed=seed), heartbeat_ms=200
+    ) as cluster:
+        old = await cluster.leader()
+        others = [r for r in cluster.running() if r is not old]
+        cluster.network.cuts = {(r.name, old.name) for r in others}
+        cut_s = asyncio.get_running_loop().time()
+        await cluster.leader(others)
+        # Section 6 of the design page: a new leader in under 3 s.
+        assert asyncio.get_running_loop().time() - cut_s < 3.0
+        assert not old.agreement.holds_lease()
+
+
+@pytest.mark.parametrize("seed", range(8))
+@virtual_time
+async def test_a_leader_that_stops_as_planned_hands_over(tmp_path, seed):
+    """Guards against a second without a leader at each restart of one."""
+    async with Cluster(tmp_path, network=Network(seed=seed)) as cluster:
+        old = await cluster.leader()
+        others = [r for r in cluster.running() if r is not old]
+        stopped_s = asyncio.get_running_loop().time()
+        await old.agreement.hand_over()
+        assert not old.agreement.holds_lease()
+        await old.crash()
+        await cluster.leader(others)
+        # Less than the silence after which followers would stand by themselves.
+        assert asyncio.get_running_loop().time() - stopped_s < 1.0
--- a/packages/cardamomrun-requests/src/cardamomrun_requests/front_door.py
+++ b/packages/cardamomrun-requests/src/cardamomrun_requests/front_door.py
@@ -73,8 +73,10 @@
     async def stop(self) -> None:
         """Stop gracefully; returns when no request is in flight."""
         self.leaving = True
-        _log.info("leaving", directory_ttl_ms=self._settings.directory_ttl_ms)
-        await self._clock.sleep_ms(self._settings.directory_ttl_ms)
+        settings = self._settings
+        wait_ms = settings.directory_ttl_ms + settings.departure_heard_ms
+        _log.info("leaving", wait_ms=wait_ms)
+        await self._clock.sleep_ms(wait_ms)
         self._listener.refuse_new()
         await self._exchanges.wait()
         await self._listener.wait_closed()
--- a/packages/cardamomrun-requests/src/cardamomrun_requests/quarantine.py
+++ b/packages/cardamomrun-requests/src/cardamomrun_requests/quarantine.py
@@ -234,9 +234,10 @@
                 if announced.phase is BackendPhase.DRAINING:
                     # A planned stop closes connections and listener too.
                     return False
-            result = await self._connect(server.address)
-            if result is not Connect.OPEN:
-                return result is Connect.REFUSED
+            # A connection that cannot be had in time proves nothing: the machine may be
+            # busy with the end of the process.
+            if await self._connect(server.address) is Connect.REFUSED:
+                return True
             if self._clock.now_ms() >= end_ms:
                 return False
             await self._clock.sleep_ms(CONFIRM_PAUSE_MS)
--- a/packages/cardamomrun-requests/tests/builders.py
+++ b/packages/cardamomrun-requests/tests/builders.py
@@ -176,6 +176,7 @@
         "fleet": FleetSettings(Path("key")),
         "announcement_tokens_file": Path("tokens"),
         "directory_ttl_ms": 100,
+        "departure_heard_ms": 0,
     }
     return NodeSettings(**(values | changes))
 
@@ -183,8 +184,10 @@
 class Fixture:
     """A front door in front of scripted servers."""
 
-    def __init__(self, servers: list[BackendBody], content: EnvironmentDocument):
-        self.settings = settings()
+    def __init__(
+        self, servers: list[BackendBody], content: EnvironmentDocument, **changes
+    ):
+        self.settings = settings(**changes)
         self.port = self.settings.front_port
         self.clock = OffsetClock()
         self.backends = FakeBackends(servers)
@@ -233,11 +236,11 @@
 
 @contextlib.asynccontextmanager
 async def front_door(
-    *servers: ScriptedServer, content: EnvironmentDocument | None = None
+    *servers: ScriptedServer, content: EnvironmentDocument | None = None, **changes
 ) -> AsyncIterator[Fixture]:
     """Run a front door and its servers."""
     bodies = [backend(await server.start(), server.server_id) for server in servers]
-    fixture = Fixture(bodies, content or document())
+    fixture = Fixture(bodies, content or document(), **changes)
     await fixture.front.start()
     try:
         yield fixture
--- a/packages/cardamomrun-requests/tests/test_load.py
+++ b/packages/cardamomrun-requests/tests/test_load.py
@@ -236,3 +236,20 @@
                 await fixture.front.start()
 
     asyncio.run(main())
+
+
+def test_a_stopping_instance_outlives_answers_given_before_others_heard():
+    """Guards against refused callers that were told of an instance as it stopped."""
+
+    async def main():
+        server = ScriptedServer([Step(ok())])
+        heard_ms = 400
+        async with front_door(server, departure_heard_ms=heard_ms) as fixture:
+            stopping = asyncio.create_task(fixture.front.stop())
+            # Another instance names this one just before it hears of the stop.
+            await asyncio.sleep(heard_ms / 1_000)
+            await asyncio.sleep(fixture.settings.directory_ttl_ms / 1_000 / 2)
+            assert (await fixture.call()).status == 200
+            await stopping
+
+    asyncio.run(main())
--- a/packages/cardamomrun-requests/tests/test_quarantine.py
+++ b/packages/cardamomrun-requests/tests/test_quarantine.py
@@ -113,6 +113,17 @@
     return counted
 
 
+async def busy_while_it_dies(service):
+    async def refuse():
+        await sleep_ms(200)
+        service.state["b0"] = Connect.REFUSED
+
+    refusing = asyncio.create_task(refuse())
+    counted = await service.crash("b0", end=Connect.UNREACHABLE)
+    await refusing
+    return counted
+
+
 async def restarts_at_once(service):
     attempt = service.attempt("b0")
     service.announce(replace(service.servers["b0"], incarnation=2))
@@ -156,6 +167,7 @@
     "a crash during planned restarts": (planned_restart, True),
     "a dying process that closes its port late": (port_closes_late, True),
     "a server that is back before the check": (restarts_at_once, True),
+    "a machine that is too busy to refuse at first": (busy_while_it_dies, True),
     "a mass restart that is over": (mass_restart_long_ago, True),
     "a silent connection taken as a death": (only_the_connection_died, False),
     "a partition taken as a death": (unreachable, False),
