Load the code of agreement on control instances only

Cause: an entry instance imported cardamomrun_control, about a quarter of its import time (343 of 1,264 ms on a loaded machine, python -X importtime), at each start. Ruled out for now: pydantic (17%), which the settings' types need. Test: none of its modules is loaded with the entry point; it failed before.

--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_registry.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_registry.py
@@ -1,6 +1,7 @@
 """Announcements of backend servers of routed services, on control instances."""
 
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 from cardamomrun_base.clock import Clock
 from cardamomrun_base.errors import UnavailableError
@@ -13,7 +14,9 @@
     RoutedServerBody,
     ServerId,
 )
-from cardamomrun_control.routing_service import RoutingControl
+
+if TYPE_CHECKING:
+    from cardamomrun_control.routing_service import RoutingControl
 
 __all__ = ["RoutedAnnouncement", "ServerRegistry"]
 
@@ -53,7 +56,7 @@
     fall silent. Renewals are not replicated.
     """
 
-    def __init__(self, clock: Clock, fleet: Fleet, control: RoutingControl) -> None:
+    def __init__(self, clock: Clock, fleet: Fleet, control: "RoutingControl") -> None:
         self._clock = clock
         self._fleet = fleet
         self._control = control
--- a/packages/cardamomrun-node/src/cardamomrun_node/gateway_node.py
+++ b/packages/cardamomrun-node/src/cardamomrun_node/gateway_node.py
@@ -2,13 +2,13 @@
 
 import asyncio
 from contextlib import AsyncExitStack
+from typing import TYPE_CHECKING
 
 from cardamomrun_base.clock import Clock
 from cardamomrun_base.headers import GatewayHeaders
 from cardamomrun_base.logs import PartLog
 from cardamomrun_base.model import MemberPhase
 from cardamomrun_base.settings import GatewaySettings, NodeSettings, Role
-from cardamomrun_control.routing_service import RoutingControl
 from cardamomrun_fleet.fleet import Fleet
 from cardamomrun_gateway.address_book import AddressBook
 from cardamomrun_gateway.crash_guard import CrashGuard
@@ -26,6 +26,9 @@
 from cardamomrun_node.parts import PartLoop, cancel, keep_running
 from cardamomrun_requests.background import Background
 
+if TYPE_CHECKING:
+    from cardamomrun_control.routing_service import RoutingControl
+
 __all__ = ["GatewayNode"]
 
 _log = PartLog("node")
@@ -55,8 +58,14 @@
         self._front: GatewayFront | None = None
         self._stack = AsyncExitStack()
         if Role.CONTROL in settings.roles:
-            self.control = RoutingControl(settings, clock, self.fleet)
-            self.registry = ServerRegistry(clock, self.fleet, self.control)
+            self._add_control()
+
+    def _add_control(self) -> None:
+        # Imported here because it is a quarter of the start of an entry instance.
+        from cardamomrun_control.routing_service import RoutingControl
+
+        self.control = RoutingControl(self._settings, self._clock, self.fleet)
+        self.registry = ServerRegistry(self._clock, self.fleet, self.control)
 
     @property
     def is_ready(self) -> bool:
@@ -90,7 +99,7 @@
         await self._stack.aclose()
 
     async def _start_control(
-        self, control: RoutingControl, stack: AsyncExitStack
+        self, control: "RoutingControl", stack: AsyncExitStack
     ) -> None:
         await control.start()
         stack.push_async_callback(control.stop)
