Add a randomized fault soak of the real programs

Three control and three entry processes on loopback addresses, stand-in servers behind relays, callers that keep connections and follow the directory, and an operator. Faults are drawn from a seed and overlap: pauses, kills, planned stops, SIGHUP, a lost disk, half of all processes at once, sick servers in six ways, silent and reset connections, departures.

Not injected: clocks (nothing outside a process can change them without tools that are ruled out here) and slow or full disks.

--- a/tests/relay.py
+++ b/tests/relay.py
@@ -19,6 +19,7 @@
 class _Connection:
     def __init__(self) -> None:
         self.dropped = Direction(0)
+        self.writers: list[asyncio.StreamWriter] = []
 
 
 class Relay:
@@ -47,6 +48,12 @@
         for connection in self._open:
             connection.dropped = dropped
 
+    def reset(self) -> None:
+        """Reset the connections open now."""
+        for connection in self._open:
+            for writer in connection.writers:
+                writer.transport.abort()
+
     def stop(self) -> None:
         """Close the listener and all connections."""
         self._server.close()
@@ -65,7 +72,8 @@
     ) -> None:
         host, port = self._target.rsplit(":", 1)
         connection = _Connection()
-        writers = [writer]
+        writers = connection.writers
+        writers.append(writer)
         try:
             target_reader, target_writer = await asyncio.open_connection(
                 host, int(port)
--- /dev/null
+++ b/tests/soak/machines.py
@@ -0,0 +1,119 @@
+"""The real programs as processes on loopback addresses, and faults by signals."""
+
+import json
+import os
+import shutil
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+from ..adapter.builders import settings_fields
+
+__all__ = ["Machine", "Machines"]
+
+PEER_PORT, CONTROL_PORT, DIRECTORY_PORT = 17660, 18146, 18143
+FRONT_PORT, READY_PORT = 18144, 18140
+CONTROL_COUNT = 3
+
+
+class Machine:
+    """One process with its settings, data folder and log."""
+
+    def __init__(self, folder: Path, ip: str, seeds: list[str]) -> None:
+        self.ip = ip
+        self.is_control = int(ip.rpartition(".")[2]) <= CONTROL_COUNT
+        self.is_paused = False
+        self._folder = folder
+        self._seeds = seeds
+        self._bootstrap = True
+        self._process: subprocess.Popen[bytes] | None = None
+
+    @property
+    def is_running(self) -> bool:
+        """True while the process has not ended."""
+        return self._process is not None and self._process.poll() is None
+
+    def start(self) -> None:
+        """Start the process; a second start has no first voters."""
+        path = self._folder / f"{self.ip}.json"
+        path.write_text(json.dumps(self._fields()))
+        self._bootstrap = False
+        with (self._folder / f"{self.ip}.log").open("ab") as log:
+            self._process = subprocess.Popen(
+                [sys.executable, "-P", "-m", "cardamomrun_platform"],
+                env=os.environ | {"CARDAMOMRUN_CONFIG": str(path)},
+                stdout=log,
+                stderr=log,
+            )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to this process, if it runs."""
+        if self.is_running:
+            assert self._process is not None
+            self._process.send_signal(number)
+            self.is_paused = number is signal.SIGSTOP
+
+    def end(self) -> int | None:
+        """Kill the process if it runs; return its exit code."""
+        if self._process is None:
+            return None
+        self.signal(signal.SIGKILL)
+        return self._process.wait()
+
+    def wipe(self) -> None:
+        """Lose the data folder; the process must have ended."""
+        shutil.rmtree(self._folder / self.ip, ignore_errors=True)
+
+    def _fields(self) -> dict[str, object]:
+        ip = self.ip
+        listen = {"directory": f"{ip}:{DIRECTORY_PORT}"}
+        if self.is_control:
+            listen |= {"control": f"{ip}:{CONTROL_PORT}"}
+        else:
+            listen |= {"front": f"{ip}:{FRONT_PORT}", "ready": f"{ip}:{READY_PORT}"}
+        return settings_fields(
+            node_name=ip,
+            ip=ip,
+            serves=["control", "directory"]
+            if self.is_control
+            else ["edge", "directory"],
+            listen=listen,
+            data_dir=str(self._folder / ip) if self.is_control else None,
+            internal_ports=[PEER_PORT, PEER_PORT + 9],
+            seeds=self._seeds,
+            bootstrap=self._bootstrap,
+        )
+
+
+class Machines:
+    """Control and entry instances of one run."""
+
+    def __init__(self, folder: Path, network: str, entry_count: int) -> None:
+        control = [f"{network}.{n}" for n in range(1, CONTROL_COUNT + 1)]
+        entry = [f"{network}.{n}" for n in range(11, 11 + entry_count)]
+        seeds = [f"{ip}:{CONTROL_PORT}" for ip in control]
+        self.all = [Machine(folder, ip, seeds) for ip in (*control, *entry)]
+
+    @property
+    def control(self) -> list[Machine]:
+        """The control instances."""
+        return [one for one in self.all if one.is_control]
+
+    @property
+    def entry(self) -> list[Machine]:
+        """The entry instances."""
+        return [one for one in self.all if not one.is_control]
+
+    def control_addresses(self) -> list[str]:
+        """Return where backend servers and operators call."""
+        return [f"{one.ip}:{CONTROL_PORT}" for one in self.control]
+
+    def directory_addresses(self) -> list[str]:
+        """Return where callers ask for addresses."""
+        return [f"{one.ip}:{DIRECTORY_PORT}" for one in self.all]
+
+    def stop(self) -> None:
+        """End all processes of this run, by their ids."""
+        for one in self.all:
+            one.end()
