Read settings again on SIGHUP and when their file changes

Seeds and the retry budget are used at once; other changed fields are named in the log and apply from the next start. Bad settings are logged and left out.

--- a/packages/cardamomrun-fleet/src/cardamomrun_fleet/fleet.py
+++ b/packages/cardamomrun-fleet/src/cardamomrun_fleet/fleet.py
@@ -109,6 +109,7 @@
         self.traffic = TrafficCounters()
         self.membership = Membership(settings, clock, self._store)
         self._settings = settings
+        self._seeds = settings.fleet.seeds
         self._clock = clock
         self._random = random.Random(f"{settings.instance_id}/{clock.wall_ms()}")
         self._handlers: dict[type, Handler] = {}
@@ -241,6 +242,10 @@
             return True
         return not any(Role.CONTROL in member.roles for member in self.members())
 
+    def use_seeds(self, peer_addresses: tuple[str, ...]) -> None:
+        """Replace the addresses that are tried besides those of known members."""
+        self._seeds = peer_addresses
+
     def add_address(self, instance_id: InstanceId, peer_address: str) -> None:
         """Name the peer address of an instance that has no member record yet."""
         self._added[instance_id] = peer_address
@@ -427,8 +432,7 @@
                 link.send(Pull(b"".join(sorted(missing))))
 
     async def _wait_for_snapshots(self) -> None:
-        fleet = self._settings.fleet
-        if not fleet.seeds and not self._added:
+        if not self._seeds and not self._added:
             return
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(SNAPSHOT_WAIT_MS / MS_PER_S):
@@ -621,7 +625,7 @@
             wanted.setdefault(self._probed.peer_address, self._probed.instance_id)
         known = {body.peer_address for body in members.values()}
         known |= {self._settings.peer_address, self._settings.published_peer_address}
-        for address in (*self._settings.fleet.seeds, *self._seed_addresses()):
+        for address in (*self._seeds, *self._seed_addresses()):
             if address not in known:
                 wanted.setdefault(address, "")
         self._wanted = wanted
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/retry_budget.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/retry_budget.py
@@ -1,6 +1,7 @@
 """The budget of further attempts, which all instances share."""
 
 from collections import deque
+from dataclasses import replace
 
 from cardamomrun_base.clock import Clock
 from cardamomrun_base.model import InstanceId
@@ -24,6 +25,12 @@
         self._windows: dict[int, _Window] = {}
         self._heard: dict[tuple[InstanceId, int, int], ServiceCount] = {}
 
+    def use(self, settings: GatewaySettings) -> None:
+        """Replace the ratio and slack; the window stays as it is until a restart."""
+        self._settings = replace(
+            settings, retry_window_ms=self._settings.retry_window_ms
+        )
+
     def may_repeat(self, service_key: int) -> bool:
         """Return True if one more attempt at a service fits the budget."""
         window = self._windows.get(service_key)
--- a/packages/cardamomrun-node/src/cardamomrun_node/gateway_node.py
+++ b/packages/cardamomrun-node/src/cardamomrun_node/gateway_node.py
@@ -24,6 +24,7 @@
 from cardamomrun_gateway.server_registry import ServerRegistry
 from cardamomrun_gateway.table import RoutingTable
 from cardamomrun_node.parts import PartLoop, cancel, keep_running
+from cardamomrun_node.settings_watch import changed_fields
 from cardamomrun_requests.background import Background
 
 if TYPE_CHECKING:
@@ -53,8 +54,10 @@
         self.registry: ServerRegistry | None = None
         self._load = FleetLoad(clock, self.fleet.store)
         self.addresses = AddressBook(settings, clock, self.fleet, self._load)
-        budget = RetryBudget(self._gateway, clock)
-        self._reports = LoadReports(settings, clock, self.fleet, self._load, budget)
+        self._budget = RetryBudget(self._gateway, clock)
+        self._reports = LoadReports(
+            settings, clock, self.fleet, self._load, self._budget
+        )
         self._front: GatewayFront | None = None
         self._stack = AsyncExitStack()
         if Role.CONTROL in settings.roles:
@@ -92,6 +95,20 @@
         self.fleet.set_phase(MemberPhase.SERVING)
         _log.info(f"serves as {', '.join(self._settings.roles)}")
 
+    def reload(self, settings: NodeSettings) -> None:
+        """Use new seeds and a new retry budget; name what waits for a restart."""
+        gateway = settings.gateway or GatewaySettings()
+        self.fleet.use_seeds(settings.fleet.seeds)
+        self._budget.use(gateway)
+        waiting = changed_fields(self._settings, settings)
+        _log.info(
+            "has read its settings again",
+            seeds=settings.fleet.seeds,
+            retry_ratio=gateway.retry_ratio,
+            retry_slack_count=gateway.retry_slack_count,
+            from_next_start=waiting,
+        )
+
     async def stop(self) -> None:
         """Leave the directory, finish requests in flight, and close everything."""
         _log.info("leaves the directory and finishes requests in flight")
--- /dev/null
+++ b/tests/adapter/test_settings_reload.py
@@ -0,0 +1,80 @@
+"""Settings that change while an instance runs."""
+
+import asyncio
+import json
+from dataclasses import replace
+from types import SimpleNamespace
+
+from cardamomrun_base.clock import ManualClock
+from cardamomrun_base.settings import GatewaySettings
+from cardamomrun_gateway.retry_budget import RetryBudget
+from cardamomrun_node.gateway_node import GatewayNode
+from cardamomrun_node.settings_watch import POLL_MS, SettingsWatch, changed_fields
+from cardamomrun_platform.settings import read_settings
+
+from .builders import settings_fields
+
+
+def write(path, **changes):
+    path.write_text(json.dumps(settings_fields(**changes)))
+
+
+def node_settings(path, **changes):
+    write(path, **changes)
+    return read_settings(path).node
+
+
+def test_new_seeds_are_used_without_a_restart(tmp_path):
+    """Guards against an instance that knows only seeds which are gone."""
+
+    async def main():
+        path = tmp_path / "local.yaml"
+        used = []
+        node = SimpleNamespace(
+            fleet=SimpleNamespace(use_seeds=used.append),
+            _budget=RetryBudget(GatewaySettings(), ManualClock()),
+            _settings=node_settings(path),
+        )
+        changed = node_settings(path, seeds=["10.9.9.9:8146"])
+        GatewayNode.reload(node, changed)
+        assert used == [("10.9.9.9:7660",)]
+
+    asyncio.run(main())
+
+
+def test_a_changed_file_is_read_without_a_signal(tmp_path):
+    async def main():
+        clock = ManualClock()
+        path = tmp_path / "local.yaml"
+        write(path)
+        reads = []
+        watch = SettingsWatch(clock, path, lambda: reads.append(read_settings(path)))
+        watch_task = asyncio.create_task(watch.run())
+        for content in (None, "seeds", "broken", None):
+            if content == "seeds":
+                write(path, seeds=["10.9.9.9:8146"])
+            elif content == "broken":
+                path.write_text("{")
+            await asyncio.sleep(0)
+            clock.advance_ms(POLL_MS + 1)
+            await asyncio.sleep(0.01)
+        watch_task.cancel()
+        assert len(reads) == 1
+
+    asyncio.run(main())
+
+
+def test_settings_that_wait_for_a_restart_are_named(tmp_path):
+    old = node_settings(tmp_path / "local.yaml")
+    assert changed_fields(old, replace(old, directory_ttl_ms=500)) == [
+        "directory_ttl_ms"
+    ]
+    assert changed_fields(old, replace(old, gateway=GatewaySettings())) == []
+
+
+def test_a_new_retry_ratio_counts_at_once():
+    budget = RetryBudget(GatewaySettings(retry_slack_count=0), ManualClock())
+    budget.count(1, 100, 10)
+    assert budget.may_repeat(1)
+    budget.use(GatewaySettings(retry_slack_count=0, retry_ratio=0.1))
+    assert not budget.may_repeat(1)
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -1,7 +1,7 @@
 """What callers and backend servers saw, and the promises that follow from it."""
 
 import time
-from collections import defaultdict
+from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 
 __all__ = ["Ledger", "Sent"]
@@ -40,7 +40,7 @@
     faults: list[str] = field(default_factory=list)
     broken: list[str] = field(default_factory=list)
     served_count: int = 0
-    cut_count: int = 0
+    cuts: Counter[str] = field(default_factory=Counter)
 
     def ran(self, request_id: str, server_id: str, seen: Sent) -> None:
         """Note that a server began to work on a request."""
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -235,8 +235,8 @@
             answer = await caller.request(
                 address, sent.method, sent.path, headers, sent.body
             )
-        except CallerError:
-            self.ledger.cut_count += 1
+        except CallerError as error:
+            self.ledger.cuts[str(error)] += 1
             return None
         echo = answer.headers.get("Cardamomrun-Attempt-Id", "")
         self.ledger.answered(request_id, answer.status, answer.body, echo)
@@ -257,7 +257,7 @@
         ledger = asyncio.run(play(Soak(seed, **sizes), folder))  # type: ignore[arg-type]
         print(
             f"seed {seed}: {len(ledger.sent)} sent, {ledger.served_count} served, "
-            f"{ledger.cut_count} cut, {len(ledger.broken)} broken",
+            f"{ledger.cuts.total()} cut, {len(ledger.broken)} broken",
             flush=True,
         )
         if ledger.broken:
