--- a/tests/adapter/builders.py
+++ b/tests/adapter/builders.py
@@ -36,6 +36,11 @@
     return values | changes
 
 
+def settings_text(fields, metrics_port=7661):
+    """Return the settings file that the template of the deploy file makes."""
+    return json.dumps({"metrics_port": metrics_port, "machine": fields})
+
+
 def route_fields(**changes):
     values = {
         "name": "r-1",
--- a/tests/adapter/test_calls.py
+++ b/tests/adapter/test_calls.py
@@ -158,3 +158,24 @@
     call(node, "POST", BEAT, check_in())
     call(node, "POST", LEAVE, b'{"born": 7}')
     assert node.registry.calls == [("announce", "i-1"), ("leave", "i-1", 7)]
+
+
+def test_callers_are_served_where_the_port_of_metrics_is_taken():
+    """Guards against an instance that does not start for the sake of its metrics."""
+
+    async def main():
+        address = f"127.0.0.1:{free_port()}"
+        settings = SimpleNamespace(
+            node=SimpleNamespace(directory_ttl_ms=1_000),
+            ready_address=address,
+            directory_address=None,
+            control_address=None,
+            metrics_address=address,
+        )
+        listeners = open_listeners(settings, FakeNode())
+        answer = await AsyncHTTPClient().fetch(f"http://{address}/v1/ready")
+        assert answer.code == 200
+        for listener in listeners:
+            listener.stop()
+
+    asyncio.run(main())
--- a/tests/adapter/test_fleet_of_processes.py
+++ b/tests/adapter/test_fleet_of_processes.py
@@ -13,7 +13,7 @@
 
 from cardamomrun_bench.scripted_server import ScriptedServer, Step
 
-from .builders import check_in, manifest, route_fields, settings_fields
+from .builders import check_in, manifest, route_fields, settings_fields, settings_text
 
 WAIT_S = 40.0
 PEER_PORT, CONTROL_PORT, DIRECTORY_PORT = 17660, 18146, 18143
@@ -57,7 +57,7 @@
             seeds=[f"{host}:{CONTROL_PORT}" for host in self.control],
         )
         path = self.folder / f"{ip}.json"
-        path.write_text(json.dumps(fields))
+        path.write_text(settings_text(fields))
         log = (self.folder / f"{ip}.log").open("wb")
         self.running[ip] = subprocess.Popen(
             [sys.executable, "-P", "-m", "cardamomrun_platform"],
--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -1,4 +1,6 @@
 import json
+import tomllib
+from pathlib import Path
 
 import pytest
 
@@ -6,12 +8,12 @@
 from cardamomrun_base.settings import Role
 from cardamomrun_platform.settings import read_settings
 
-from .builders import settings_fields
+from .builders import settings_fields, settings_text
 
 
 def read(tmp_path, fields):
     path = tmp_path / "local.yaml"
-    path.write_text(json.dumps(fields))
+    path.write_text(settings_text(fields))
     return read_settings(path)
 
 
@@ -27,6 +29,7 @@
     assert node.gateway.grace_ms == 6_000
     assert settings.control_address == "127.0.0.1:8146"
     assert settings.ready_address is None
+    assert settings.metrics_address == "127.0.0.1:7661"
 
 
 def test_a_machine_that_joins_has_no_first_voters(tmp_path):
@@ -69,3 +72,12 @@
 def test_a_missing_file_is_named(tmp_path):
     with pytest.raises(SettingsError, match=r"local\.yaml"):
         read_settings(tmp_path / "local.yaml")
+
+
+def test_metrics_are_served_where_the_deploy_file_says():
+    """Guards against metrics that nobody can fetch."""
+    root = Path(__file__).parents[2] / "deploy"
+    template = (root / "settings.json.template").read_text()
+    port = json.loads(template.replace("{{.|json}}", "{}"))["metrics_port"]
+    roles = tomllib.loads((root / "system.toml").read_text())["roles"]
+    assert {role["metrics"] for role in roles.values()} == {f"{port}/metrics"}
--- a/tests/adapter/test_settings_reload.py
+++ b/tests/adapter/test_settings_reload.py
@@ -1,7 +1,6 @@
 """Settings that change while an instance runs."""
 
 import asyncio
-import json
 from dataclasses import replace
 from types import SimpleNamespace
 
@@ -12,11 +11,11 @@
 from cardamomrun_node.settings_watch import POLL_MS, SettingsWatch, changed_fields
 from cardamomrun_platform.settings import read_settings
 
-from .builders import settings_fields
+from .builders import settings_fields, settings_text
 
 
 def write(path, **changes):
-    path.write_text(json.dumps(settings_fields(**changes)))
+    path.write_text(settings_text(settings_fields(**changes)))
 
 
 def node_settings(path, **changes):
--- a/tests/soak/machines.py
+++ b/tests/soak/machines.py
@@ -1,6 +1,5 @@
 """The real programs as processes on loopback addresses, and faults by signals."""
 
-import json
 import os
 import shutil
 import signal
@@ -8,7 +7,7 @@
 import sys
 from pathlib import Path
 
-from ..adapter.builders import settings_fields
+from ..adapter.builders import settings_fields, settings_text
 
 __all__ = ["Machine", "Machines"]
 
@@ -37,7 +36,7 @@
     def start(self) -> None:
         """Start the process; a second start has no first voters."""
         path = self._folder / f"{self.ip}.json"
-        path.write_text(json.dumps(self._fields()))
+        path.write_text(settings_text(self._fields()))
         self._bootstrap = False
         with (self._folder / f"{self.ip}.log").open("ab") as log:
             self._process = subprocess.Popen(
