Build the checks of settings and documents when they are first used

Cause: importing cardamomrun_base.settings took 40 of about 400 ms of own time (python -X importtime), most of it the check of a settings file that machines of the users' platform never read.

--- a/packages/cardamomrun-base/src/cardamomrun_base/documents.py
+++ b/packages/cardamomrun-base/src/cardamomrun_base/documents.py
@@ -3,6 +3,7 @@
 import hashlib
 from dataclasses import dataclass
 from enum import StrEnum
+from functools import cache
 from pathlib import Path
 from typing import Annotated
 
@@ -130,7 +131,10 @@
     customer_header: str = CUSTOMER
 
 
-_document_adapter = TypeAdapter(EnvironmentDocument)
+@cache
+def _document_adapter() -> TypeAdapter:
+    # Building it takes longer than a small document; not every node reads one.
+    return TypeAdapter(EnvironmentDocument)
 
 
 def document_digest(document: bytes) -> str:
@@ -145,7 +149,7 @@
     and key of the first fault.
     """
     parsed = parse_named(_decode(data, name), name, DocumentError)
-    document = check_fields(_document_adapter, parsed, name, DocumentError)
+    document = check_fields(_document_adapter(), parsed, name, DocumentError)
     _check_routes(document, parsed, name)
     return document
 
--- a/packages/cardamomrun-base/src/cardamomrun_base/settings.py
+++ b/packages/cardamomrun-base/src/cardamomrun_base/settings.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, fields, replace
 from enum import StrEnum
+from functools import cache
 from pathlib import Path
 from typing import Annotated, Any
 
@@ -166,7 +167,10 @@
         return self.advertised_peer_address or self.peer_address
 
 
-_settings_adapter = TypeAdapter(NodeSettings)
+@cache
+def _settings_adapter() -> TypeAdapter:
+    # Costs more than reading a file; nodes whose settings come elsewhere need none.
+    return TypeAdapter(NodeSettings)
 
 
 def load_settings(path: Path) -> NodeSettings:
@@ -175,7 +179,7 @@
     Raises `SettingsError` that names file, line, key and remedy.
     """
     parsed = parse_named(_read_text(path), str(path), SettingsError)
-    settings = check_fields(_settings_adapter, parsed, str(path), SettingsError)
+    settings = check_fields(_settings_adapter(), parsed, str(path), SettingsError)
     _check_roles(settings, path)
     _check_secrets(settings, path)
     return _with_absolute_paths(settings, path.resolve().parent)
