--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import signal
+import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
@@ -18,6 +19,7 @@
     "herd",
 )  # fmt: skip
 SICK_MODES = tuple(mode for mode in Mode if mode is not Mode.WELL)
+# The grace time of 6 s, pauses that overlap it, and the start of a loaded machine.
 STOP_LIMIT_S = 12.0
 
 
@@ -125,10 +127,15 @@
         machine = self._machine(fault)
         self._ledger.fault(f"stops {machine.ip}")
         machine.signal(signal.SIGTERM)
-        async with asyncio.timeout(STOP_LIMIT_S + fault.for_s):
-            while machine.is_running:
-                await asyncio.sleep(0.05)
-        machine.start()
+        stopping, limit_s = machine.process_id, time.monotonic() + STOP_LIMIT_S
+        # Another fault may kill it meanwhile, and start a new process.
+        while machine.is_running and machine.process_id == stopping:
+            if time.monotonic() > limit_s:
+                self._ledger.broke(f"{machine.ip} runs {STOP_LIMIT_S} s after SIGTERM")
+                machine.end()
+            await asyncio.sleep(0.05)
+        if not machine.is_running:
+            machine.start()
 
     async def _hup(self, fault: Fault) -> None:
         machine = self._machine(fault)
--- a/tests/soak/machines.py
+++ b/tests/soak/machines.py
@@ -46,6 +46,11 @@
                 stderr=log,
             )
 
+    @property
+    def process_id(self) -> int | None:
+        """The id of the last process; restarts change it."""
+        return None if self._process is None else self._process.pid
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to this process, if it runs."""
         if self.is_running:
