Send once-only requests into no connection that rested over 100 ms

Cause: a server may forget an idle connection within 0.15 to 0.4 s and resets what is sent next; a request that may run once is lost by it, and the reset put a server that is well in doubt for all instances. Connections of up to 1 s of rest were used. Ruled out: learning it per server, since an instance sees a server once in tens of seconds; a new connection costs a few ms. A reset on a rested connection now weighs like a broken-off answer, so one alone is no doubt.

--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_attempt.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_attempt.py
@@ -12,7 +12,7 @@
 from cardamomrun_gateway.fleet_load import Server
 from cardamomrun_gateway.load_reports import LoadReports
 from cardamomrun_gateway.routed_request import RoutedRequest, RouteTimes
-from cardamomrun_gateway.server_connections import ServerConnections
+from cardamomrun_gateway.server_connections import FRESH_MS, ServerConnections
 from cardamomrun_gateway.server_health import AttemptEnd
 from cardamomrun_requests.body_channel import BodyChannel, BodyCutError
 from cardamomrun_requests.framing import without_body
@@ -185,7 +185,7 @@
             await cancel_sending(sending)
         head = answer.head.result()
         if head is None:
-            return self._no_head(answer)
+            return self._no_head(answer, connection)
         return await self._take_answer(answer, *head)
 
     async def _send_body(self, connection: UpstreamConnection) -> None:
@@ -194,12 +194,13 @@
             await connection.write(chunk)
         connection.finish_request()
 
-    def _no_head(self, answer: Answer) -> Lost:
+    def _no_head(self, answer: Answer, connection: UpstreamConnection) -> Lost:
         if answer.malformed:
             self._verdict.end = AttemptEnd.BROKEN_OFF
             return Lost("the answer is malformed")
         took_ms = self._tools.clock.now_ms() - self.started_ms
-        is_early = took_ms <= RESET_MS
+        # A connection that rested may have been forgotten by a server that is well.
+        is_early = took_ms <= RESET_MS and connection.rested_ms <= FRESH_MS
         self._verdict.end = AttemptEnd.RESET if is_early else AttemptEnd.BROKEN_OFF
         return Lost("the connection ended before an answer", has_no_answer=True)
 
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_connections.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_connections.py
@@ -10,14 +10,15 @@
 from cardamomrun_gateway.fleet_load import FleetLoad, Server
 from cardamomrun_requests.upstream import UpstreamConnection, open_stream
 
-__all__ = ["ServerConnections"]
+__all__ = ["FRESH_MS", "ServerConnections"]
 
 # Connecting takes a few milliseconds. A lost SYN is sent again after a second, by
 # when another server has answered.
 CONNECT_TIMEOUT_MS = 200.0
-# A server may close an idle connection without notice, and whatever is sent then is
-# lost: requests that may run once use only connections that were just in use.
-FRESH_MS = 1_000.0
+# A server, or something on the way, may forget an idle connection within a few tenths
+# of a second, and whatever is sent then is lost: requests that may run once use only
+# connections that were just in use. A new one takes a few milliseconds.
+FRESH_MS = 100.0
 # Part of the server's own idle time after which a connection is not used any more.
 KEEP_ALIVE_RATIO = 0.5
 KEEP_ALIVE = re.compile(r"timeout=(\d+)")
@@ -42,6 +43,7 @@
             idle = held.pop()
             limit_ms = idle.limit_ms if is_idempotent else min(FRESH_MS, idle.limit_ms)
             if now_ms - idle.since_ms <= limit_ms and idle.connection.usable():
+                idle.connection.rested_ms = now_ms - idle.since_ms
                 return idle.connection
             idle.connection.close()
         stream = await open_stream(server.body.address, CONNECT_TIMEOUT_MS)
--- a/packages/cardamomrun-gateway/tests/test_dispatch.py
+++ b/packages/cardamomrun-gateway/tests/test_dispatch.py
@@ -372,3 +372,35 @@
             assert len(server.heads) == 1
 
     asyncio.run(main())
+
+
+def test_a_request_that_may_run_once_uses_no_connection_that_rested():
+    """Guards against a request sent into a connection that the server forgot."""
+
+    async def main():
+        server = ScriptedServer([OK, OK, OK])
+        async with gateway(server) as running:
+            assert (await running.call("POST", "/b/x", b"1")).status == 200
+            assert (await running.call("POST", "/b/x", b"2")).status == 200
+            assert server.connection_count == 1
+            running.clock.offset_ms += 150.0
+            assert (await running.call("POST", "/b/x", b"3")).status == 200
+            assert server.connection_count == 2
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize(("rest_ms", "is_doubted"), [(0.0, True), (300.0, False)])
+def test_a_server_that_forgot_a_connection_is_not_doubted(rest_ms, is_doubted):
+    """Guards against well servers left alone for connections that only rested."""
+
+    async def main():
+        server = ScriptedServer([OK, RESET])
+        async with gateway(server) as running:
+            assert (await running.call("GET", "/a/x")).status == 200
+            running.clock.offset_ms += rest_ms
+            await running.call("GET", "/a/x")
+            assert len(server.heads) == 2
+            assert running.load.get("b1").health.is_doubted is is_doubted
+
+    asyncio.run(main())
--- a/packages/cardamomrun-requests/src/cardamomrun_requests/upstream.py
+++ b/packages/cardamomrun-requests/src/cardamomrun_requests/upstream.py
@@ -156,6 +156,8 @@
         self.pool: _ServerPool | None = None
         self.reused = False
         self.idle_since_ms = 0.0
+        # How long it was idle before the request that it carries now.
+        self.rested_ms = 0.0
         self.answer: Answer | None = None
         self._stream = stream
         self._http: HTTP1Connection | None = None
