--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/load_reports.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/load_reports.py
@@ -103,6 +103,7 @@
         self._batch_due = False
         self._heard_batch_ms = float("-inf")
         self._listeners: dict[Address, float] = {}
+        self._members: list[MemberBody] = []
         self._targets_read_ms = float("-inf")
         self._sent_ms = float("-inf")
 
@@ -306,9 +307,15 @@
         if now_ms - self._targets_read_ms < TARGETS_MS:
             return
         self._targets_read_ms = now_ms
+        members = self._fleet.members()
+        if members != self._members:
+            self._members = members
+            self._use_targets(members)
+
+    def _use_targets(self, members: list[MemberBody]) -> None:
         by_domain: dict[str, list[MemberBody]] = {}
         near = []
-        for member in self._fleet.members():
+        for member in members:
             if member.phase is MemberPhase.GONE:
                 continue
             by_domain.setdefault(member.failure_domain, []).append(member)
