Give the routes of load reports a module of their own

No decision changes. The demonstration's copy in test_interfaces passes over bytecode of an earlier run, which made it fail in a used tree.

--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/load_reports.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/load_reports.py
@@ -1,9 +1,10 @@
 """Tells the other instances what this one has in work, by datagrams.
 
-Control instances only listen: they tell callers which instances are alive.
+Control instances send none of their own: they listen, to tell callers which instances
+are alive, and relay where their links are wider than those of entry instances.
 
 A report goes to the relay of the own failure domain. A relay collects reports for a
-few milliseconds and sends them together to the instances of its domain and to the
+while and sends them together to the instances of its domain and to the
 relays of the others, so that an instance receives a few batches and not the reports
 of each other one. Datagrams may be lost: each report holds the whole state of its
 sender, and one is sent at least every `report_idle_ms`. A report that puts a server in
@@ -19,13 +20,8 @@
 from cardamomrun_base.errors import AddressInUseError
 from cardamomrun_base.interfaces import Fleet
 from cardamomrun_base.logs import PartLog
-from cardamomrun_base.model import InstanceId, MemberBody, MemberPhase
-from cardamomrun_base.settings import (
-    DEFAULT_LINK_MBPS,
-    GatewaySettings,
-    NodeSettings,
-    Role,
-)
+from cardamomrun_base.model import InstanceId
+from cardamomrun_base.settings import GatewaySettings, NodeSettings, Role
 from cardamomrun_gateway.fleet_load import FleetLoad, Server
 from cardamomrun_gateway.load_messages import (
     batches,
@@ -35,14 +31,8 @@
     split_batch,
 )
 from cardamomrun_gateway.own_load import OwnLoad
-from cardamomrun_gateway.report_relays import (
-    COLLECT_MS,
-    Address,
-    RelayChoice,
-    address_of,
-    collect_ms,
-    relay_order,
-)
+from cardamomrun_gateway.report_relays import COLLECT_MS, Address, collect_ms
+from cardamomrun_gateway.report_routes import ReportRoutes
 from cardamomrun_gateway.retry_budget import RetryBudget
 from cardamomrun_gateway.server_health import AttemptEnd
 
@@ -55,8 +45,6 @@
 # relay to pass batches on to it, for `LISTEN_MS` each time.
 DEAF_MS = 500.0
 LISTEN_MS = 1_500.0
-# Members change over seconds; each report would read all records otherwise.
-TARGETS_MS = 250.0
 REPORT = b"\x01"
 URGENT_REPORT = b"\x02"
 NEAR_BATCH = b"\x03"
@@ -92,19 +80,13 @@
         self._own = OwnLoad(clock, settings.instance_id)
         self._transport: asyncio.DatagramTransport | None = None
         self._flush_due = False
-        self._near: list[Address] = []
-        self._least_link_mbps = DEFAULT_LINK_MBPS
+        self._routes = ReportRoutes(settings, clock, fleet)
         self._collect_ms = COLLECT_MS
-        self._own_relay = RelayChoice()
-        self._far_relays: dict[str, RelayChoice] = {}
-        self._domains: dict[Address, RelayChoice] = {}
         self._collected: dict[InstanceId, bytes] = {}
         self._passed_on: dict[InstanceId, bytes] = {}
         self._batch_due = False
         self._heard_batch_ms = float("-inf")
         self._listeners: dict[Address, float] = {}
-        self._members: list[MemberBody] = []
-        self._targets_read_ms = float("-inf")
         self._sent_ms = float("-inf")
 
     async def start(self, incarnation: int) -> None:
@@ -144,9 +126,8 @@
         now_ms = self._clock.now_ms()
         if now_ms - self._heard_batch_ms < DEAF_MS:
             return
-        self._read_targets()
-        own = self._own_address
-        candidates = [a for a in self._own_relay.candidates if a != own]
+        self._routes.refresh()
+        candidates = self._routes.relay_candidates
         if candidates:
             self._send(LISTEN, self._random.choice(candidates))
 
@@ -196,9 +177,7 @@
     def datagram_received(self, data: bytes, addr: Any) -> None:
         """Merge reports, and pass on those that this instance relays."""
         now_ms = self._clock.now_ms()
-        choice = self._domains.get(addr)
-        if choice is not None:
-            choice.heard(addr, now_ms)
+        self._routes.heard(addr)
         kind, body = data[:1], data[1:]
         if kind == LISTEN:
             self._listeners[addr] = now_ms + LISTEN_MS
@@ -234,12 +213,11 @@
 
     def _flush(self, *, is_urgent: bool = False) -> None:
         self._flush_due = False
-        now_ms = self._sent_ms = self._clock.now_ms()
-        self._read_targets()
+        self._sent_ms = self._clock.now_ms()
+        self._routes.refresh()
         body = encode_load(self._own.report())
-        self._own_relay.heard(self._own_address, now_ms)
-        for relay in self._own_relay.pick(now_ms):
-            if relay != self._own_address:
+        for relay in self._routes.own_relays():
+            if relay != self._routes.own_address:
                 self._send((URGENT_REPORT if is_urgent else REPORT) + body, relay)
             elif is_urgent:
                 self._send_near([body])
@@ -269,13 +247,13 @@
 
     def _send_batches(self) -> None:
         self._batch_due = False
-        self._read_targets()
+        self._routes.refresh()
         own = list(self._collected.values())
         everything = [*own, *self._passed_on.values()]
         self._collected = {}
         self._passed_on = {}
         self._collect_ms = collect_ms(
-            sum(len(body) for body in everything), self._least_link_mbps
+            sum(len(body) for body in everything), self._routes.least_link_mbps
         )
         self._send_near(everything)
         self._send_far(FAR_BATCH, own)
@@ -283,17 +261,12 @@
     def _send_near(self, bodies: list[bytes]) -> None:
         now_ms = self._clock.now_ms()
         for data in batches(bodies):
-            for address in self._near:
+            for address in self._routes.near:
                 self._send(NEAR_BATCH + data, address)
             self._pass_to_listeners(NEAR_BATCH + data, now_ms)
 
     def _send_far(self, kind: bytes, bodies: list[bytes]) -> None:
-        now_ms = self._clock.now_ms()
-        relays = [
-            relay
-            for choice in self._far_relays.values()
-            for relay in choice.pick(now_ms)
-        ]
+        relays = self._routes.far_relays()
         for data in batches(bodies):
             for relay in relays:
                 self._send(kind + data, relay)
@@ -301,42 +274,3 @@
     def _send(self, data: bytes, address: Address) -> None:
         if self._transport is not None and not self._transport.is_closing():
             self._transport.sendto(data, address)
-
-    def _read_targets(self) -> None:
-        now_ms = self._clock.now_ms()
-        if now_ms - self._targets_read_ms < TARGETS_MS:
-            return
-        self._targets_read_ms = now_ms
-        members = self._fleet.members()
-        if members != self._members:
-            self._members = members
-            self._use_targets(members)
-
-    def _use_targets(self, members: list[MemberBody]) -> None:
-        by_domain: dict[str, list[MemberBody]] = {}
-        near = []
-        for member in members:
-            if member.phase is MemberPhase.GONE:
-                continue
-            by_domain.setdefault(member.failure_domain, []).append(member)
-            is_near = member.failure_domain == self._settings.failure_domain
-            if is_near and address_of(member.peer_address) != self._own_address:
-                near.append(member)
-        self._near = [address_of(member.peer_address) for member in near]
-        self._least_link_mbps = min(
-            (member.link_mbps for member in near), default=DEFAULT_LINK_MBPS
-        )
-        own = by_domain.pop(self._settings.failure_domain, [])
-        self._own_relay.candidates = relay_order(own)
-        self._far_relays = {
-            domain: self._far_relays.get(domain, RelayChoice()) for domain in by_domain
-        }
-        self._domains = dict.fromkeys(self._near, self._own_relay)
-        for domain, members in by_domain.items():
-            choice = self._far_relays[domain]
-            choice.candidates = relay_order(members)
-            self._domains.update(dict.fromkeys(choice.candidates, choice))
-
-    @property
-    def _own_address(self) -> Address:
-        return address_of(self._settings.published_peer_address)
--- a/tests/test_interfaces.py
+++ b/tests/test_interfaces.py
@@ -36,6 +36,9 @@
 
 def _copy_demo(folder: Path) -> None:
     for path in (ROOT / "demo").iterdir():
+        if path.is_dir():
+            # Bytecode of an earlier run.
+            continue
         (folder / path.name).write_text(
             path.read_text().replace("127.20.", _free_network())
         )
