--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -8,7 +8,11 @@
 
 SHORT = Soak(seed=1, entry_count=2, server_count=3, fault_count=6, duration_s=5.0)
 # Each seed that failed, by a line on its cause.
-FAILED: dict[str, Soak] = {}
+FAILED: dict[str, Soak] = {
+    "a departure is published late when its leader dies just after the answer": Soak(
+        seed=101
+    ),
+}
 
 
 def check(soak, folder):
