Let peers confirm a departure before it is answered

The instance that answers hands the record to linked peers, entry instances first, and answers once two confirmed it, 503 if none did.

--- a/packages/cardamomrun-base/src/cardamomrun_base/interfaces.py
+++ b/packages/cardamomrun-base/src/cardamomrun_base/interfaces.py
@@ -72,6 +72,13 @@
         Raises `PeerUnreachableError` if no byte left, `PeerTimeoutError` otherwise.
         """
 
+    async def deliver(self, record: Record, *, copy_count: int, timeout_ms: int) -> int:
+        """Hand a record to linked peers and return how many of them confirmed it.
+
+        Peers pass it on, so it spreads even if this instance dies next. Returns
+        `copy_count` where no other member is known.
+        """
+
     def handle(
         self,
         message_type: type,
--- a/packages/cardamomrun-bench/src/cardamomrun_bench/claim_cost.py
+++ b/packages/cardamomrun-bench/src/cardamomrun_bench/claim_cost.py
@@ -90,6 +90,9 @@
     def may_be_behind(self) -> bool:
         return False
 
+    async def deliver(self, record: Record, *, copy_count: int, timeout_ms: int) -> int:
+        return copy_count
+
     async def request(
         self, instance_id: InstanceId, message: Any, *, timeout_ms: int
     ) -> Any:
--- a/packages/cardamomrun-control/src/cardamomrun_control/routing_service.py
+++ b/packages/cardamomrun-control/src/cardamomrun_control/routing_service.py
@@ -34,6 +34,7 @@
 from cardamomrun_control.agreement import Agreement
 from cardamomrun_control.metrics import watch
 from cardamomrun_control.routing_state import (
+    RETIRED_COUNT,
     PutRouting,
     PutRoutingResult,
     RetiredServer,
@@ -61,6 +62,10 @@
 GONE_COUNTER = 1 << 41
 # A start after a loss of power finds at most this much less; each save costs two syncs.
 RECOVERY_SPACING_MS = 500
+# Peers that confirm a departure before it is answered: one may die with this instance.
+TOLD_COUNT = 2
+# Callers of control give an instance one second, of which forwarding may take most.
+TELL_TIMEOUT_MS = 140
 # Longer than an announcement can be late.
 GONE_LIFETIME_MS = 600_000
 
@@ -108,6 +113,7 @@
         self._keeper = VoterKeeper(settings, clock, fleet, self.agreement)
         self._changed = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
+        self._told_departures: dict[ServerId, RetiredServer] = {}
         fleet.handle(ForwardRequest, self._on_forward)
 
     async def start(self) -> None:
@@ -175,16 +181,16 @@
     async def retire(
         self, server_id: ServerId, incarnation: int, *, is_gone: bool
     ) -> None:
-        """Return once a majority holds that a server gets no new work.
+        """Return once a majority holds that a server gets no new work, and peers know.
 
         Raises `UnavailableError` otherwise.
         """
         held = self._state.routing.retired(server_id)
         asked = (incarnation, is_gone)
-        if held is not None and (held.incarnation, held.is_gone) >= asked:
-            return
-        command = RetireServer(self._clock.wall_ms(), server_id, incarnation, is_gone)
-        await self._propose(command)
+        if held is None or (held.incarnation, held.is_gone) < asked:
+            at_ms = self._clock.wall_ms()
+            await self._propose(RetireServer(at_ms, server_id, incarnation, is_gone))
+        await self._tell_departure(RetiredServer(server_id, incarnation, is_gone))
         _log.info(
             "a backend server leaves",
             server_id=server_id,
@@ -192,6 +198,26 @@
             is_gone=is_gone,
         )
 
+    async def _tell_departure(self, entry: RetiredServer) -> None:
+        """Hand a departure to peers; all control instances could die after an answer.
+
+        Raises `UnavailableError` if no peer confirmed it.
+        """
+        if self._told_departures.get(entry.server_id) == entry:
+            return
+        record = self._retired_record(entry)
+        told_count = await self._fleet.deliver(
+            record, copy_count=TOLD_COUNT, timeout_ms=TELL_TIMEOUT_MS
+        )
+        if told_count == 0:
+            raise UnavailableError(
+                f"No peer confirmed that {entry.server_id} leaves.",
+                remedy="send the same call again, or to another control instance",
+            )
+        self._told_departures[entry.server_id] = entry
+        if len(self._told_departures) > RETIRED_COUNT:
+            del self._told_departures[next(iter(self._told_departures))]
+
     def is_retired(self, server_id: ServerId, incarnation: int) -> bool:
         """Return True if a server left in this incarnation or a later one."""
         held = self._state.routing.retired(server_id)
@@ -285,11 +311,19 @@
             counter = drained_counter(is_gone=entry.is_gone)
             held = self._fleet.store.get(Kind.ROUTED_SERVER, entry.server_id)
             version = (entry.incarnation, counter)
-            if held is not None and held.version >= version:
-                continue
-            body = _retired_body(entry, held)
-            lifetime_ms = GONE_LIFETIME_MS if entry.is_gone else None
-            self._put(Kind.ROUTED_SERVER, entry.server_id, version, body, lifetime_ms)
+            if held is None or held.version < version:
+                self._fleet.store.put(self._retired_record(entry))
+
+    def _retired_record(self, entry: RetiredServer) -> Record:
+        held = self._fleet.store.get(Kind.ROUTED_SERVER, entry.server_id)
+        return Record.of(
+            Kind.ROUTED_SERVER,
+            entry.server_id,
+            self._settings.instance_id,
+            (entry.incarnation, drained_counter(is_gone=entry.is_gone)),
+            _retired_body(entry, held),
+            GONE_LIFETIME_MS if entry.is_gone else None,
+        )
 
     def _restore_servers(self) -> None:
         """Take the backend servers that were known before the last stop.
@@ -349,12 +383,9 @@
         key: str,
         version: tuple[int, int],
         body: Any,
-        lifetime_ms: int | None = None,
     ) -> None:
         owner_id = self._settings.instance_id
-        self._fleet.store.put(
-            Record.of(kind, key, owner_id, version, body, lifetime_ms)
-        )
+        self._fleet.store.put(Record.of(kind, key, owner_id, version, body))
 
 
 def _retired_body(entry: RetiredServer, held: Record | None) -> RoutedServerBody:
--- a/packages/cardamomrun-control/src/cardamomrun_control/routing_state.py
+++ b/packages/cardamomrun-control/src/cardamomrun_control/routing_state.py
@@ -8,6 +8,7 @@
 from cardamomrun_base.model import ServerId
 
 __all__ = [
+    "RETIRED_COUNT",
     "PutRouting",
     "PutRoutingResult",
     "RetireServer",
--- a/packages/cardamomrun-control/tests/builders.py
+++ b/packages/cardamomrun-control/tests/builders.py
@@ -233,6 +233,22 @@
     def may_be_behind(self):
         return False
 
+    async def deliver(self, record, *, copy_count, timeout_ms):
+        """Put the record into the stores of peers that are in reach."""
+        self.store.put(record)
+        peers = [name for name in self.network.fleets if name != self.instance_id]
+        if not peers:
+            return copy_count
+        reached = [
+            name
+            for name in peers
+            if not {(self.instance_id, name), (name, self.instance_id)}
+            & self.network.cuts
+        ][:copy_count]
+        for name in reached:
+            self.network.fleets[name].store.put(record)
+        return len(reached)
+
     async def request(self, instance_id, message, *, timeout_ms):
         if instance_id not in self.network.fleets:
             raise PeerUnreachableError("no such peer.", remedy="none")
--- a/packages/cardamomrun-control/tests/test_routing_service.py
+++ b/packages/cardamomrun-control/tests/test_routing_service.py
@@ -39,6 +39,29 @@
         assert leader.control.is_retired("b1", 7)
 
 
+@real_time
+async def test_peers_hold_a_departure_when_it_is_answered(tmp_path):
+    """Guards against a departure that dies with the instances that acknowledged it."""
+    async with RoutingCluster(tmp_path, **FAST) as cluster:
+        leader = await cluster.leader()
+        await retried(lambda: leader.control.retire("b1", 7, is_gone=False))
+        holders = [
+            i for i in cluster.running() if i.fleet.store.get(Kind.ROUTED_SERVER, "b1")
+        ]
+        assert len(holders) >= 3
+
+
+@real_time
+async def test_a_departure_that_no_peer_confirms_is_not_acknowledged(tmp_path):
+    async with RoutingCluster(tmp_path, **FAST) as cluster:
+        leader = await cluster.leader()
+        await retried(lambda: leader.control.retire("b1", 7, is_gone=False))
+        cluster.network.isolate(leader.name)
+        leader.control._told_departures.clear()
+        with pytest.raises(UnavailableError):
+            await leader.control.retire("b1", 7, is_gone=False)
+
+
 @real_time
 async def test_a_document_that_is_not_newer_is_acknowledged_and_kept_out(tmp_path):
     async with RoutingCluster(tmp_path, **FAST) as cluster:
--- a/packages/cardamomrun-fleet/src/cardamomrun_fleet/exchange.py
+++ b/packages/cardamomrun-fleet/src/cardamomrun_fleet/exchange.py
@@ -10,6 +10,7 @@
 
 __all__ = [
     "Announced",
+    "Delivery",
     "Digests",
     "DigestsRequest",
     "Fingerprints",
@@ -46,6 +47,14 @@
     records: tuple[tuple[bytes, int], ...]
 
 
+@message("delivery")
+@dataclass(frozen=True)
+class Delivery:
+    """Changed records whose arrival the sender waits for; passed on like flooded ones."""
+
+    records: tuple[tuple[bytes, int], ...]
+
+
 @message("announced")
 @dataclass(frozen=True)
 class Announced:
@@ -127,7 +136,7 @@
 
 
 def merge_batch(
-    store: Store, batch: RecordBatch | FloodedBatch, source: InstanceId
+    store: Store, batch: RecordBatch | FloodedBatch | Delivery, source: InstanceId
 ) -> list[tuple[HeldRecord, bool]]:
     """Merge a peer's records; unreadable ones are skipped and logged.
 
--- a/packages/cardamomrun-fleet/src/cardamomrun_fleet/fleet.py
+++ b/packages/cardamomrun-fleet/src/cardamomrun_fleet/fleet.py
@@ -23,12 +23,19 @@
 )
 from cardamomrun_base.interfaces import RecordStore
 from cardamomrun_base.logs import PartLog
-from cardamomrun_base.model import InstanceId, Kind, MemberBody, MemberPhase
+from cardamomrun_base.model import (
+    InstanceId,
+    Kind,
+    MemberBody,
+    MemberPhase,
+    Record,
+)
 from cardamomrun_base.settings import NodeSettings, Role
 from cardamomrun_fleet.credentials import Credentials, Hello, load_fleet_key
 from cardamomrun_fleet.dissemination import ANNOUNCE_MS, Dissemination
 from cardamomrun_fleet.exchange import (
     Announced,
+    Delivery,
     Digests,
     DigestsRequest,
     Fingerprints,
@@ -62,6 +69,8 @@
 
 LEADER_KEY = "control"
 SNAPSHOT_PEER_COUNT = 2
+# Peers that are asked to confirm a delivered record beyond those that have to.
+SPARE_COPY_COUNT = 2
 SNAPSHOT_WAIT_MS = 2_000
 SNAPSHOT_TIMEOUT_MS = 20_000
 # A peer that has not sent its snapshot by now may be cut off; another one is asked too.
@@ -276,8 +285,50 @@
             raise _unreachable(instance_id, "no time was left after opening a link")
         return await link.request(message, timeout_ms=left_ms)
 
+    async def deliver(self, record: Record, *, copy_count: int, timeout_ms: int) -> int:
+        """Hand a record to linked peers and return how many of them confirmed it.
+
+        At most `copy_count` confirmations are awaited, in time `timeout_ms`. Peers pass
+        the record on, so it spreads even if this instance dies next. Returns
+        `copy_count` where no other member is known.
+        """
+        self._store.put(record)
+        if not any(body.instance_id != self.instance_id for body in self.members()):
+            return copy_count
+        held = self._store.hold(record)
+        delivery = Delivery(((held.encoded, 0),))
+        links = [link for link in map(self._overlay_link, self._links) if link]
+        self._random.shuffle(links)
+        # Instances that serve callers are the ones that have to know.
+        links.sort(key=self._serves_callers, reverse=True)
+        # Peers that are being started or paused answer late; others stand in for them.
+        waiting = {
+            asyncio.create_task(link.request(delivery, timeout_ms=timeout_ms))
+            for link in links[: copy_count + SPARE_COPY_COUNT]
+        }
+        confirmed_count = 0
+        while waiting and confirmed_count < copy_count:
+            done, waiting = await asyncio.wait(
+                waiting, return_when=asyncio.FIRST_COMPLETED
+            )
+            confirmed_count += sum(task.exception() is None for task in done)
+        for task in waiting:
+            self._tasks.add(task)
+            task.add_done_callback(self._delivery_ended)
+        return confirmed_count
+
     # Requests
 
+    def _serves_callers(self, link: Link) -> bool:
+        body = self.membership.get(link.peer_id)
+        return body is not None and Role.ENTRY in body.roles
+
+    def _delivery_ended(self, task: "asyncio.Task[Any]") -> None:
+        self._tasks.discard(task)
+        if not task.cancelled():
+            # A late failure says nothing that the confirmations had not said.
+            task.exception()
+
     async def _request_self(self, message: Any, timeout_ms: int) -> Any:
         try:
             async with asyncio.timeout(timeout_ms / MS_PER_S):
@@ -325,6 +376,9 @@
         match message:
             case SnapshotRequest():
                 return await self._stream(link, self._store.everything())
+            case Delivery():
+                merge_batch(self._store, message, link.peer_id)
+                return None
             case DigestsRequest(root):
                 equal = root == self._store.root_digest()
                 return Digests(b"" if equal else self._store.bucket_digests())
--- a/packages/cardamomrun-fleet/tests/test_fleet.py
+++ b/packages/cardamomrun-fleet/tests/test_fleet.py
@@ -63,6 +63,33 @@
     asyncio.run(check())
 
 
+def test_a_delivered_record_is_held_by_peers_when_delivery_returns(tmp_path):
+    """Guards against records that die with the instance that wrote them."""
+
+    async def check():
+        async with running(tmp_path, 4) as fleets:
+            count = await fleets[0].deliver(crash(), copy_count=2, timeout_ms=1_000)
+            assert count >= 2
+            assert sum(holds(fleet, "k") for fleet in fleets[1:]) >= 2
+            await crash_process(fleets[0])
+            for fleet in fleets[1:]:
+                await until(lambda f=fleet: holds(f, "k"), "record at all others")
+
+    asyncio.run(check())
+
+
+def test_delivery_counts_only_peers_that_confirm(tmp_path):
+    async def check():
+        async with running(tmp_path, 2, fleet_class=CuttableFleet) as (one, two):
+            async with relays_between(one, two) as relays:
+                await until(lambda: "n1" in one.linked_peers(), "linked by a relay")
+                for relay in relays:
+                    relay.forward = relay.backward = False
+                assert await one.deliver(crash(), copy_count=1, timeout_ms=100) == 0
+
+    asyncio.run(check())
+
+
 def test_requests_are_answered_time_out_or_find_no_peer(tmp_path):
     """Guards against lost answers and against a wrong claim that nothing was sent."""
 
