--- a/packages/cardamomrun-bench/src/cardamomrun_bench/capacity_start.py
+++ b/packages/cardamomrun-bench/src/cardamomrun_bench/capacity_start.py
@@ -49,9 +49,7 @@
     seeds = tuple(one.peer_address for one in all_settings[:SEED_COUNT])
     return [
         _CountingFleet(
-            replace(
-                one, fleet=replace(one.fleet, seeds=seeds, silence_ms=SILENCE_MS)
-            ),
+            replace(one, fleet=replace(one.fleet, seeds=seeds, silence_ms=SILENCE_MS)),
             SystemClock(),
         )
         for one in all_settings
--- a/packages/cardamomrun-fleet/src/cardamomrun_fleet/fleet.py
+++ b/packages/cardamomrun-fleet/src/cardamomrun_fleet/fleet.py
@@ -59,6 +59,7 @@
 from cardamomrun_fleet.membership import Membership
 from cardamomrun_fleet.overlay import select_peers
 from cardamomrun_fleet.store import (
+    BUCKET_COUNT,
     FINGERPRINT_BYTES,
     HeldRecord,
     Source,
@@ -73,7 +74,7 @@
 SPARE_COPY_COUNT = 2
 SNAPSHOT_WAIT_MS = 2_000
 SNAPSHOT_TIMEOUT_MS = 20_000
-# A peer that has not sent its snapshot by now may be cut off; another one is asked too.
+# A peer of which nothing comes for this long may be cut off; another one is asked too.
 PULL_PATIENCE_MS = 300
 EXCHANGE_TIMEOUT_MS = 5_000
 EXCHANGE_JITTER_RATIO = 0.2
@@ -90,6 +91,20 @@
 # partition find each other again.
 FAILED_PROBE_MS = 10_000
 STOP_TIMEOUT_MS = 2_000
+# While many instances start, each arrival would change which peers are linked, and every
+# link costs a few milliseconds on both sides. With this many links the others wait until
+# members have arrived.
+ENOUGH_LINKS = 2
+SETTLE_FIRST_MS = 1_000
+SETTLE_LAST_MS = 2_000
+# Each seed after the first is tried this much later: two of them answer a start in the
+# usual case, and a fleet that starts at once opens fewer links to them.
+SEED_SPACING_MS = 250
+# Changes wait for each other, by the number of links that they go out on: a seed of a
+# fleet that starts has hundreds.
+FLOOD_MS_PER_LINK = 0.5
+FLOOD_FREE_LINKS = 16
+FLOOD_MAX_MS = 150.0
 # A leader confirms its record each 60 s by its wall clock. Two missed confirmations
 # and half a minute for different clocks show that no leader is heard, also where
 # control instances without a majority are in reach.
@@ -118,9 +133,10 @@
         self.traffic = TrafficCounters()
         self.membership = Membership(settings, clock, self._store)
         self._settings = settings
-        self._seeds = settings.fleet.seeds
         self._clock = clock
         self._random = random.Random(f"{settings.instance_id}/{clock.wall_ms()}")
+        self._seeds = self._shuffled(settings.fleet.seeds)
+        self._started_ms = clock.now_ms()
         self._handlers: dict[type, Handler] = {}
         self._credentials: Credentials | None = None
         self._server: Server | None = None
@@ -133,16 +149,19 @@
         self._lost_ms: dict[InstanceId, float] = {}
         self._probed_ms = clock.now_ms()
         self._probed: MemberBody | None = None
-        self._unflooded: list[tuple[HeldRecord, Source]] = []
+        self._unflooded: dict[tuple[Kind, str], tuple[HeldRecord, Source]] = {}
         self._dissemination = Dissemination(self._random)
         self._is_announcing = False
         self._pulled: set[InstanceId] = set()
-        self._pull_turns = asyncio.Semaphore(SNAPSHOT_PEER_COUNT)
+        self._pull_turn = asyncio.Lock()
         self._synced_ms: float | None = None
         self._caught_up = False
         self._started = False
         self._changed = asyncio.Event()
         self._wanted_basis: Any = None
+        self._wanted_ms = float("-inf")
+        # Random, so that instances that start together do not open links together.
+        self._settle_ms = self._random.uniform(SETTLE_FIRST_MS, SETTLE_LAST_MS)
         self._stopping = False
         self._store.watch(self._record_won)
 
@@ -253,7 +272,10 @@
 
     def use_seeds(self, peer_addresses: tuple[str, ...]) -> None:
         """Replace the addresses that are tried besides those of known members."""
-        self._seeds = peer_addresses
+        self._seeds = self._shuffled(peer_addresses)
+
+    def _shuffled(self, addresses: tuple[str, ...]) -> tuple[str, ...]:
+        return tuple(self._random.sample(addresses, len(addresses)))
 
     def add_address(self, instance_id: InstanceId, peer_address: str) -> None:
         """Name the peer address of an instance that has no member record yet."""
@@ -414,12 +436,18 @@
         if self._server is None or (source is not None and not self._caught_up):
             return
         if not self._unflooded:
-            # Changes of the same loop turn leave in one message.
-            asyncio.get_running_loop().call_soon(self._flood)
-        self._unflooded.append((held, source))
+            loop = asyncio.get_running_loop()
+            loop.call_later(self._flood_pause_ms() / MS_PER_S, self._flood)
+        # Of several changes of a record only the last one leaves.
+        self._unflooded[held.record.kind, held.record.key] = (held, source)
+
+    def _flood_pause_ms(self) -> float:
+        link_count = len(self._links) - FLOOD_FREE_LINKS
+        return min(FLOOD_MAX_MS, max(0, link_count) * FLOOD_MS_PER_LINK)
 
     def _flood(self) -> None:
-        changes, self._unflooded = self._unflooded, []
+        changes = list(self._unflooded.values())
+        self._unflooded.clear()
         for peer_id in tuple(self._links):
             link = self._overlay_link(peer_id)
             if link is not None:
@@ -501,21 +529,29 @@
         return len(self._pulled) >= needed
 
     async def _pull_snapshot(self, link: Link) -> None:
-        """Pull a snapshot unless enough other links bring one soon.
+        """Pull a snapshot, or what differs from it, unless enough other links did.
 
         All links open at about the same time at a start, and each snapshot holds all
-        records.
+        records: two at once would share a narrow link.
         """
-        async with self._pull_turns:
+        async with self._pull_turn:
             if len(self._pulled) >= SNAPSHOT_PEER_COUNT:
                 return
             pull = asyncio.create_task(self._pull_from(link))
-            await asyncio.wait({pull}, timeout=PULL_PATIENCE_MS / MS_PER_S)
+            is_moving = True
+            while is_moving and not pull.done():
+                heard_ms = link.heard_ms
+                await asyncio.wait({pull}, timeout=PULL_PATIENCE_MS / MS_PER_S)
+                is_moving = link.heard_ms > heard_ms
         await pull
 
     async def _pull_from(self, link: Link) -> None:
         with contextlib.suppress(UnavailableError):
-            await link.request(SnapshotRequest(), timeout_ms=SNAPSHOT_TIMEOUT_MS)
+            if self._pulled:
+                # Most of it is the same: only what differs travels.
+                await self._exchange(link, bucket_count=BUCKET_COUNT)
+            else:
+                await link.request(SnapshotRequest(), timeout_ms=SNAPSHOT_TIMEOUT_MS)
             self._pulled.add(link.peer_id)
             self._synced_ms = self._clock.now_ms()
             self._caught_up = self._started
@@ -532,13 +568,15 @@
                 with contextlib.suppress(UnavailableError):
                     await self._exchange(link)
 
-    async def _exchange(self, link: Link) -> None:
+    async def _exchange(
+        self, link: Link, bucket_count: int = EXCHANGE_BUCKET_COUNT
+    ) -> None:
         start = DigestsRequest(self._store.root_digest())
         digests = await link.request(start, timeout_ms=EXCHANGE_TIMEOUT_MS)
         if digests.buckets:
             differing = self._store.differing_buckets(digests.buckets)
             self._random.shuffle(differing)
-            await self._exchange_buckets(link, bytes(differing[:EXCHANGE_BUCKET_COUNT]))
+            await self._exchange_buckets(link, bytes(differing[:bucket_count]))
         self._synced_ms = self._clock.now_ms()
 
     async def _exchange_buckets(self, link: Link, buckets: bytes) -> None:
@@ -660,10 +698,12 @@
             probed_id,
             self._synced_ms is None,
             frozenset(self._added.items()),
+            len(self._due_seeds()),
         )
-        if basis == self._wanted_basis:
+        if basis == self._wanted_basis or self._may_wait_for_members(basis):
             return
         self._wanted_basis = basis
+        self._wanted_ms = self._clock.now_ms()
         members = {body.instance_id: body for body in self.members()}
         members.pop(self.instance_id, None)
         reachable = [b for b in members.values() if b.instance_id not in self._lost_ms]
@@ -679,11 +719,24 @@
             wanted.setdefault(self._probed.peer_address, self._probed.instance_id)
         known = {body.peer_address for body in members.values()}
         known |= {self._settings.peer_address, self._settings.published_peer_address}
-        for address in (*self._seeds, *self._seed_addresses()):
+        for address in (*self._due_seeds(), *self._seed_addresses()):
             if address not in known:
                 wanted.setdefault(address, "")
         self._wanted = wanted
 
+    def _due_seeds(self) -> tuple[str, ...]:
+        """Return the seeds that it is time to try, in an order of this instance."""
+        age_ms = self._clock.now_ms() - self._started_ms
+        return self._seeds[: 1 + int(age_ms // SEED_SPACING_MS)]
+
+    def _may_wait_for_members(self, basis: tuple[Any, ...]) -> bool:
+        """Return True if only members have arrived, and enough links work meanwhile."""
+        if self._clock.now_ms() - self._wanted_ms >= self._settle_ms:
+            return False
+        if self._wanted_basis is None or basis[1:] != self._wanted_basis[1:]:
+            return False
+        return len(self.linked_peers()) >= ENOUGH_LINKS
+
     def _seed_addresses(self) -> list[str]:
         return list(self._added.values()) if self._synced_ms is None else []
 
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/fleet_load.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/fleet_load.py
@@ -37,6 +37,8 @@
 # A process that was killed takes longer than this to send again.
 RESTART_MS = 500.0
 TAG_MASK = 0xFFFF
+# New servers that share a line of the log; it stays within a few kilobytes.
+LOGGED_SERVER_COUNT = 100
 # Weights of a new answer time in the running means of a server and of its service. A
 # server answers a few requests a second, its service many times as many.
 SERVER_MEAN_WEIGHT = 0.15
@@ -114,6 +116,7 @@
         self._by_key: dict[int, Server] = {}
         self._by_service: dict[str, dict[ServerId, Server]] = {}
         self._relays: dict[int, _Relay] = {}
+        self._new_servers: list[str] = []
         self._relay_of: dict[int, int] = {}
         self._heard_ms: dict[int, float] = {}
         self._means_ms: dict[str, float] = {}
@@ -211,13 +214,21 @@
         finally:
             self._waiters.discard(waiter)
 
-    def drop_silent(self) -> None:
-        """Forget the counts of relays that stopped sending."""
+    def tick(self) -> None:
+        """Forget the counts of relays that stopped sending, and log new servers."""
+        self._log_new_servers()
         limit_ms = self._clock.now_ms() - SILENT_RELAY_MS
         for key, relay in list(self._relays.items()):
             if relay.heard_ms < limit_ms:
                 self._drop(key, relay)
 
+    def _log_new_servers(self) -> None:
+        # Each instance hears of every server: at a start one line each is most of the
+        # work that the records cost.
+        if self._new_servers:
+            servers, self._new_servers = self._new_servers, []
+            _log.info("backend servers take work", servers=" ".join(servers))
+
     def _drop(self, key: int, relay: _Relay) -> None:
         del self._relays[key]
         if relay.others:
@@ -363,13 +374,9 @@
         server.others_count = sum(
             relay.others.get(key, 0) for relay in self._relays.values()
         )
-        _log.info(
-            "a backend server takes work",
-            server_id=body.server_id,
-            service=body.service,
-            incarnation=body.incarnation,
-            address=body.address,
-        )
+        self._new_servers.append(f"{body.server_id}/{body.incarnation}")
+        if len(self._new_servers) >= LOGGED_SERVER_COUNT:
+            self._log_new_servers()
 
     def _remove(self, server: Server) -> None:
         body = server.body
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/load_reports.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/load_reports.py
@@ -132,7 +132,7 @@
         idle_ms = self._gateway.report_idle_ms
         sends = Role.ENTRY in self._settings.roles
         while True:
-            self._load.drop_silent()
+            self._load.tick()
             self._domain.drop_silent()
             if not sends:
                 self._ask_if_deaf()
--- a/packages/cardamomrun-gateway/tests/test_fleet_load.py
+++ b/packages/cardamomrun-gateway/tests/test_fleet_load.py
@@ -109,7 +109,7 @@
     server = load.get("b1")
     take(load, in_work=[(server.key, 1, 5, None)])
     clock.advance_ms(2_000)
-    load.drop_silent()
+    load.tick()
     assert server.in_work_count == 0
 
 
