Keep busy instances from being dialled again and again at a start

Cause, from a start of 100 instances in one process: 33,467 dials in 41 s, each timed out after 2 s while the listener was busy with the ones before, 412 ms of processor a node, 36 instances knew all others; a quarter of the time went to counting the observers of suspected members.

Connecting has 1 s and the rest of the opening 5 s, four links are opened at once, the listener's queue holds 1,024, and observers are counted up to the two that are needed. At 125 in one process it still storms (0.8% of a core a node).

--- a/packages/cardamomrun-bench/src/cardamomrun_bench/capacity_start.py
+++ b/packages/cardamomrun-bench/src/cardamomrun_bench/capacity_start.py
@@ -26,7 +26,7 @@
 
 SEED_COUNT = 3
 START_SPREAD_S = 0.3
-KNOWN_LIMIT_S = 120.0
+KNOWN_LIMIT_S = 60.0
 SETTLE_S = 10.0
 REST_S = 10.0
 # One process does the work of all instances, so links answer late; they must not be
--- a/packages/cardamomrun-fleet/src/cardamomrun_fleet/fleet.py
+++ b/packages/cardamomrun-fleet/src/cardamomrun_fleet/fleet.py
@@ -81,6 +81,9 @@
 # Bounds one exchange; the rest of a large difference follows in the next ones.
 EXCHANGE_BUCKET_COUNT = 32
 REOPEN_MS = 1_000
+# Links that are opened at the same time. More at once are slower for all of them where
+# machines are busy, and time out together.
+DIAL_COUNT = 4
 BACK_OFF_FIRST_MS = 100
 BACK_OFF_MAX_MS = 5_000
 MAX_TICK_MS = 250
@@ -154,6 +157,7 @@
         self._is_announcing = False
         self._pulled: set[InstanceId] = set()
         self._pull_turn = asyncio.Lock()
+        self._dial_turns = asyncio.Semaphore(DIAL_COUNT)
         self._synced_ms: float | None = None
         self._caught_up = False
         self._started = False
@@ -766,7 +770,8 @@
             if self._overlay_link(self._wanted[address]):
                 return
             try:
-                link = await self._connect(address, Purpose.OVERLAY)
+                async with self._dial_turns:
+                    link = await self._connect(address, Purpose.OVERLAY)
             except CONNECT_ERRORS as error:
                 self._dial_failed(address, error)
             else:
--- a/packages/cardamomrun-fleet/src/cardamomrun_fleet/links.py
+++ b/packages/cardamomrun-fleet/src/cardamomrun_fleet/links.py
@@ -4,6 +4,7 @@
 import contextlib
 import itertools
 import logging
+import socket
 import ssl
 from collections import deque
 from collections.abc import Awaitable, Callable
@@ -45,7 +46,13 @@
     "open_link",
 ]
 
-OPEN_TIMEOUT_MS = 2_000
+# A machine without power never answers; one that is busy is connected by its kernel and
+# answers the rest when it gets to it. Trying it again would only add to its work.
+CONNECT_TIMEOUT_MS = 1_000
+OPEN_TIMEOUT_MS = 5_000
+# Openers of a whole fleet may come at the same moment; those that find the queue full
+# try again after a second or more.
+LISTEN_QUEUE_COUNT = 1_024
 # Request links are many at the target scale (claims reach 3 of 420 keepers), so they
 # are pinged rarely; a time-out without any traffic closes them instead.
 REQUEST_PING_MS = 20_000
@@ -389,6 +396,7 @@
         settings.peer_port,
         ssl=_tls_context(settings.tls, ssl.Purpose.CLIENT_AUTH),
         process_request=set_ping_interval,
+        backlog=LISTEN_QUEUE_COUNT,
         **_options(settings, Purpose.OVERLAY),
     )
 
@@ -409,6 +417,7 @@
     async with asyncio.timeout(OPEN_TIMEOUT_MS / MS_PER_S):
         connection = await connect(
             f"{scheme}://{address}/{purpose}",
+            sock=await _connected(address),
             ssl=_tls_context(settings.tls, ssl.Purpose.SERVER_AUTH),
             proxy=None,
             **_options(settings, purpose),
@@ -425,6 +434,23 @@
     return connection, challenge
 
 
+async def _connected(address: str) -> socket.socket:
+    host, _, port = address.rpartition(":")
+    host = host.strip("[]")
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    connected = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        connected.setblocking(False)
+        connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, True)
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(CONNECT_TIMEOUT_MS / MS_PER_S):
+            await loop.sock_connect(connected, (host, int(port)))
+    except BaseException:
+        connected.close()
+        raise
+    return connected
+
+
 def _closed_by_listener(address: str, error: ConnectionClosed) -> Exception:
     close = error.rcvd
     if close is None or close.code != CLOSE_REFUSED or close.reason not in set(Refusal):
--- a/packages/cardamomrun-fleet/src/cardamomrun_fleet/membership.py
+++ b/packages/cardamomrun-fleet/src/cardamomrun_fleet/membership.py
@@ -291,12 +291,22 @@
             for (suspect_id, _), ids in observers.items()
             if suspecters <= ids
         }
-        able = {
-            body.instance_id
-            for body in self.members()
-            if body.instance_id != instance_id and body.instance_id not in silent
-        }
-        return max(1, min(REQUIRED_OBSERVER_COUNT, len(able)))
+        silent.add(instance_id)
+        able_count = sum(
+            body.instance_id not in silent for body in self._first_members(silent)
+        )
+        return max(1, min(REQUIRED_OBSERVER_COUNT, able_count))
+
+    def _first_members(self, silent: set[InstanceId]) -> list[MemberBody]:
+        """Return as many members as it takes to find the required observers."""
+        limit = len(silent) + REQUIRED_OBSERVER_COUNT
+        found: list[MemberBody] = []
+        for record in self._store.all(Kind.MEMBER):
+            if len(found) == limit:
+                break
+            if self._is_alive(record.content):
+                found.append(record.content)
+        return found
 
     def _take_as_failed(
         self, instance_id: InstanceId, incarnation: int, since_ms: float
