Bound what a server in trouble can make an attempt read

Causes, each shown by a test with real sockets that failed first: a refusal "not run" was read to its end, at the server's pace, before another server was tried (503 after the deadline with a free server beside it); an answer without the server's proof was held until its end although its head decided; a late copy that names no request reached the next caller of a kept connection; after two late answers the reader waited for ever (its second connection object had no request to finish); answers to no request were skipped without end; a Retry-After of inf was passed on.

Ruled out: closing each connection after a refusal (connections cost callers time).

--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/dispatch.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/dispatch.py
@@ -255,13 +255,13 @@
         """
         assert self._last is not None
         if not self._may_go_on(routed):
-            return self._last_answer(self._last)
+            return self._last_answer(self._last, routed)
         self._tools.attempt.reports.repeat(self._service)
         try:
             await self._start_attempt(routed)
         except _EndedError:
             if self._maybe_run:
-                return self._last_answer(self._last)
+                return self._last_answer(self._last, routed)
             raise
         return None
 
@@ -272,10 +272,10 @@
             return False
         return self._tools.attempt.reports.may_repeat(self._service)
 
-    def _last_answer(self, last: NotSent | Lost) -> Answered:
+    def _last_answer(self, last: NotSent | Lost, routed: RoutedRequest) -> Answered:
         if isinstance(last, Lost) and last.answer is not None:
             return last.answer
-        raise self._failed(last)
+        raise self._failed(last, routed)
 
     def _may_repeat(self, routed: RoutedRequest) -> bool:
         return (
@@ -366,10 +366,13 @@
             usual_ms * RETRY_AFTER_RATIO / MS_PER_S,
         )
 
-    def _failed(self, last: NotSent | Lost) -> _EndedError:
+    def _failed(self, last: NotSent | Lost, routed: RoutedRequest) -> _EndedError:
         if isinstance(last, NotSent) and not self._maybe_run:
             retry_after_s = last.retry_after_s
-            if retry_after_s is None:
+            # One server's wish to be left alone for longer than the caller has time
+            # says nothing about the others.
+            left_s = routed.left_ms(self._clock) / MS_PER_S
+            if retry_after_s is None or retry_after_s > left_s:
                 retry_after_s = RETRY_SOON_S
             metrics.REFUSALS.labels(self._service, "not-run").inc()
             return _refused("not-run", f"Not run: {last.reason}.", retry_after_s)
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_attempt.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_attempt.py
@@ -1,11 +1,13 @@
 """One attempt to have a request answered by one backend server."""
 
 import asyncio
+import math
+from contextlib import suppress
 from dataclasses import dataclass, field
 
 from tornado.httputil import HTTPHeaders, ResponseStartLine
 
-from cardamomrun_base.clock import Clock
+from cardamomrun_base.clock import MS_PER_S, Clock
 from cardamomrun_base.headers import GatewayHeaders
 from cardamomrun_base.logs import PartLog
 from cardamomrun_gateway import metrics
@@ -39,6 +41,11 @@
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 STATUS_MISDIRECTED = 421
 
+# What is read of a refusal's body so that its connection can be kept. Another server may
+# have room meanwhile, so it must not take long.
+REFUSAL_BODY_BYTES = 65_536
+REFUSAL_BODY_MS = 20.0
+
 _log = PartLog("attempt")
 
 
@@ -216,6 +223,9 @@
                 self._verdict.end = AttemptEnd.REFUSED
             await _drain(answer)
             return NotSent("the server did not run the request", _retry_after(headers))
+        lost = self._judge_head(start_line, headers)
+        if lost is not None:
+            return lost
         try:
             first, rest = await self._hold(answer, start_line)
         except BodyCutError:
@@ -237,18 +247,24 @@
             held += chunk
         return bytes(held), answer.body
 
-    def _judge(self, answered: Answered) -> Result:
-        code = answered.start_line.code
+    def _judge_head(
+        self, start_line: ResponseStartLine, headers: HTTPHeaders
+    ) -> Lost | None:
+        """Return what is known to be lost before the body; that may never end."""
         proof = self._tools.names.success_proof
-        if proof is not None and proof not in answered.headers:
+        if proof is not None and proof not in headers:
             self._verdict.end = AttemptEnd.BROKEN_OFF
-            return Lost(f"an answer with status {code} is not the server's own")
-        if "Content-Encoding" in answered.headers and proof is not None:
+            return Lost(f"an answer with status {start_line.code} is not the server's")
+        if "Content-Encoding" in headers and proof is not None:
             self._verdict.end = AttemptEnd.BROKEN_OFF
             return Lost("the answer was encoded on its way")
-        if code in NOT_RUN_STATUSES:
+        if start_line.code in NOT_RUN_STATUSES:
             self._verdict.end = AttemptEnd.ERROR
-            return Lost(f"the server answered {code} and does not say it was not run")
+            return Lost(f"the server answered {start_line.code} and may have run it")
+        return None
+
+    def _judge(self, answered: Answered) -> Result:
+        code = answered.start_line.code
         if code >= STATUS_SERVER_ERROR:
             self._verdict.end = AttemptEnd.ERROR
             return Lost(f"the server answered {code}", answered)
@@ -260,15 +276,19 @@
 
 async def _drain(answer: Answer) -> None:
     """Read the short body of a refusal, so that the connection can be kept."""
-    try:
-        while await answer.body.get() is not None:
-            pass
-    except BodyCutError:
-        return
+    read_bytes = 0
+    with suppress(BodyCutError, TimeoutError):
+        async with asyncio.timeout(REFUSAL_BODY_MS / MS_PER_S):
+            while read_bytes <= REFUSAL_BODY_BYTES:
+                chunk = await answer.body.get()
+                if chunk is None:
+                    return
+                read_bytes += len(chunk)
 
 
 def _retry_after(headers: HTTPHeaders) -> float | None:
     try:
-        return max(0.0, float(headers["Retry-After"]))
+        retry_after_s = float(headers["Retry-After"])
     except (KeyError, ValueError):
         return None
+    return max(0.0, retry_after_s) if math.isfinite(retry_after_s) else None
--- a/packages/cardamomrun-gateway/tests/builders.py
+++ b/packages/cardamomrun-gateway/tests/builders.py
@@ -332,6 +332,42 @@
     return answer(b"", status, proof=False, **{NAMES.not_run: "1"})
 
 
+def not_run_chunked():
+    """Return the head of a refusal whose body comes in chunks."""
+    return not_run().replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
+
+
+class EndlessServer:
+    """A backend server that answers with bytes until its caller closes."""
+
+    def __init__(self, begin, repeated, pause_s):
+        self._begin, self._repeated, self._pause_s = begin, repeated, pause_s
+        self.connection_count = self.closed_count = self.sent_bytes = 0
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        return self._server.sockets[0].getsockname()[1]
+
+    def stop(self):
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        self.connection_count += 1
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(self._begin)
+            while True:
+                writer.write(self._repeated)
+                await writer.drain()
+                self.sent_bytes += len(self._repeated)
+                await asyncio.sleep(self._pause_s)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            self.closed_count += 1
+            writer.close()
+
+
 async def until(condition):
     """Wait until a condition holds; fails after `WAIT_S`."""
     async with asyncio.timeout(WAIT_S):
--- a/packages/cardamomrun-gateway/tests/test_dispatch.py
+++ b/packages/cardamomrun-gateway/tests/test_dispatch.py
@@ -1,6 +1,7 @@
 """What callers and backend servers see of a request."""
 
 import asyncio
+import time
 
 import pytest
 from tornado.httputil import HTTPHeaders, RequestStartLine
@@ -12,10 +13,12 @@
     HOST,
     NAMES,
     SERVICE,
+    EndlessServer,
     answer,
     document,
     gateway,
     not_run,
+    not_run_chunked,
     request,
     route,
     server_body,
@@ -128,6 +131,91 @@
     asyncio.run(main())
 
 
+def test_a_late_answer_that_names_no_request_is_skipped():
+    """Guards against a copy of an earlier answer that reaches the next caller."""
+
+    async def main():
+        late = (
+            answer(b"first again")
+            .replace(b"id-1", b"")
+            .replace(NAMES.request_id.encode() + b": \r\n", b"")
+        )
+        assert NAMES.request_id.encode() not in late
+        second = answer(b"second", attempt_id="id-2")
+        steps = [Step(answer(b"first", attempt_id="id-1")), Step(late * 3 + second)]
+        server = ScriptedServer(steps)
+        async with gateway(server) as running:
+            first = await running.call("POST", "/b/x", b"1", attempt_id="id-1")
+            received = await running.call("POST", "/b/x", b"2", attempt_id="id-2")
+            assert (first.body, received.body) == (b"first", b"second")
+            assert server.connection_count == 1
+
+    asyncio.run(main())
+
+
+# What a server in trouble sends on and on, before the bytes that it repeats.
+ENDLESS = {
+    "a refusal's body": (not_run_chunked(), b"400\r\n" + b"x" * 1_024 + b"\r\n"),
+    "the body of an answer without proof": (
+        answer(b"", proof=False, **{"Transfer-Encoding": "chunked"}).replace(
+            b"Content-Length: 0\r\n", b""
+        ),
+        b"400\r\n" + b"x" * 1_024 + b"\r\n",
+    ),
+    "informational answers": (b"", b"HTTP/1.1 102 Processing\r\n\r\n"),
+    "answers to another request": (b"", answer(b"x" * 1_024, attempt_id="id-0")),
+    "a status line": (b"HTTP/1.1 200 ", b"x" * 1_024),
+    "head lines": (b"HTTP/1.1 200 OK\r\n", b"a: b\r\n" * 200),
+    "a chunk extension": (
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;",
+        b"x" * 1_024,
+    ),
+}
+PAUSES_S = {"at full speed": 0.0, "in drops": 0.05}
+# Refusals and answers that cannot be the server's are known by their head.
+KNOWN_BY_HEAD = ("a refusal's body", "the body of an answer without proof")
+
+
+@pytest.mark.parametrize("path", ["/a/x", "/b/x"])
+@pytest.mark.parametrize("pace", PAUSES_S)
+@pytest.mark.parametrize("kind", ENDLESS)
+def test_bytes_without_end_hold_up_nobody(kind, pace, path):
+    """Guards against a server that sends until its caller closes the connection."""
+    begin, repeated = ENDLESS[kind]
+
+    async def main():
+        bad, good = EndlessServer(begin, repeated, PAUSES_S[pace]), ScriptedServer([OK])
+        async with gateway(bad, good) as running:
+            running.fill = running.load.started(running.load.get("b2"))
+            started_s = time.monotonic()
+            received = await running.call("POST", path, b"body")
+            took_s = time.monotonic() - started_s
+            if path == "/a/x" or kind == "a refusal's body":
+                assert received.status == 200
+            else:
+                assert received.status in (502, 504)
+            if kind in KNOWN_BY_HEAD or (pace == "at full speed" and path == "/b/x"):
+                assert took_s < 0.5
+            await until(lambda: bad.closed_count == bad.connection_count)
+            assert bad.sent_bytes < 40_000_000
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("value", ["inf", "nan", "-inf", "1e9", "soon"])
+def test_a_servers_time_to_come_back_is_passed_on_only_if_it_helps(value):
+    async def main():
+        refusal = answer(
+            b"", 503, proof=False, **{NAMES.not_run: "1", "Retry-After": value}
+        )
+        async with gateway(ScriptedServer([Step(refusal)])) as running:
+            received = await running.call("POST", "/b/x", b"1")
+            assert received.status == 503
+            assert 0 <= float(received.headers["retry-after"]) <= 1.5
+
+    asyncio.run(main())
+
+
 def test_surplus_bytes_end_a_connection():
     async def main():
         server = ScriptedServer([Step(answer() + answer(b"surplus")), OK])
--- a/packages/cardamomrun-requests/src/cardamomrun_requests/upstream.py
+++ b/packages/cardamomrun-requests/src/cardamomrun_requests/upstream.py
@@ -42,6 +42,11 @@
 # A peer without power acknowledges nothing; the kernel gives up after this time.
 UNACKNOWLEDGED_MS = 3_000
 
+# Informational answers before a final one, and late answers to earlier requests, that are
+# read on one connection; a server in trouble may send them without end.
+SKIPPED_ANSWER_COUNT = 16
+SKIPPED_BODY_BYTES = 1_048_576
+
 _PARAMETERS = HTTP1ConnectionParameters(
     chunk_size=CHUNK_BYTES,
     max_header_size=MAX_HEAD_BYTES,
@@ -73,11 +78,20 @@
     """
 
     def __init__(
-        self, method: str, stream: IOStream, identity: Identity | None = None
+        self,
+        method: str,
+        stream: IOStream,
+        identity: Identity | None = None,
+        *,
+        must_echo: bool = False,
     ) -> None:
         self._method = method
         self._stream = stream
         self._identity = identity
+        self._must_echo = must_echo
+        self._skipped_count = 0
+        self._skipped_bytes = 0
+        self.has_echoed = False
         self.is_foreign = False
         self.head: asyncio.Future[tuple[ResponseStartLine, HTTPHeaders] | None]
         self.head = asyncio.get_running_loop().create_future()
@@ -94,9 +108,11 @@
             raise HTTPInputError("the server switched protocols without a request")
         length = body_length(headers)
         if start_line.code < 200:
+            self._count_skipped()
             return
         self.is_foreign = self._answers_another(headers)
         if self.is_foreign:
+            self._count_skipped()
             return
         bodiless = without_body(self._method, start_line.code)
         chunked = "Transfer-Encoding" in headers
@@ -114,6 +130,10 @@
     async def data_received(self, chunk: bytes) -> None:
         if not self.is_foreign:
             await self.body.put(chunk)
+            return
+        self._skipped_bytes += len(chunk)
+        if self._skipped_bytes > SKIPPED_BODY_BYTES:
+            self._stream.close()
 
     def finish(self) -> None:
         if self.is_foreign:
@@ -131,7 +151,16 @@
         if self._identity is None:
             return False
         echoed = headers.get(self._identity.header)
-        return echoed is not None and echoed != self._identity.value
+        if echoed is None:
+            # A late copy may lack what the server puts into its other answers.
+            return self._must_echo
+        self.has_echoed = echoed == self._identity.value
+        return not self.has_echoed
+
+    def _count_skipped(self) -> None:
+        self._skipped_count += 1
+        if self._skipped_count > SKIPPED_ANSWER_COUNT:
+            raise HTTPInputError("the server sends answers to no request without end")
 
 
 class _Stream(IOStream):
@@ -163,6 +192,8 @@
         self._http: HTTP1Connection | None = None
         self._reader: asyncio.Task[None] | None = None
         self._request_finished = False
+        # True once an answer on this connection named its request.
+        self._echoes = False
 
     def start(
         self,
@@ -175,12 +206,16 @@
         """Send the head and first chunk of a request and begin to read the answer.
 
         From here on bytes may have reached the server. Answers that echo another
-        value of `identity` are late ones to earlier requests and are skipped.
+        value of `identity` are late ones to earlier requests and are skipped, as are
+        those without any on a connection whose answers had one.
         """
         self._request_finished = False
         self._stream.set_nodelay(True)
         self._http = HTTP1Connection(self._stream, True, _PARAMETERS)
-        self.answer = Answer(method, self._stream, identity)
+        self._echoes = self._echoes or (
+            self.answer is not None and self.answer.has_echoed
+        )
+        self.answer = Answer(method, self._stream, identity, must_echo=self._echoes)
         start_line = RequestStartLine(method, target, "HTTP/1.1")
         self._http.write_headers(start_line, headers, chunk or None)
         self._reader = asyncio.create_task(self._read(self._http, self.answer))
@@ -230,7 +265,6 @@
             await http.read_response(answer)
             while answer.is_foreign and not self._stream.closed():
                 answer.is_foreign = False
-                http = HTTP1Connection(self._stream, True, _PARAMETERS)
                 await http.read_response(answer)
             # tornado reports a malformed message by closing and returning.
             answer.malformed = not answer.head.done() or answer.head.result() is None
