Prune links that mostly bring copies, and decode each copy once

A link stopped carrying bodies only when all records of a batch were known, which batches of a busy start never are. An entry instance ran 390 to 626 rounds of its loop a second.

--- a/packages/cardamomrun-fleet/src/cardamomrun_fleet/dissemination.py
+++ b/packages/cardamomrun-fleet/src/cardamomrun_fleet/dissemination.py
@@ -110,6 +110,11 @@
                 del self._missing[name]
         return pulls
 
+    @property
+    def is_missing(self) -> bool:
+        """True while records are to be asked for."""
+        return bool(self._missing)
+
     @property
     def is_waiting(self) -> bool:
         """True while fingerprints are to be sent or records to be asked for."""
--- a/packages/cardamomrun-fleet/src/cardamomrun_fleet/exchange.py
+++ b/packages/cardamomrun-fleet/src/cardamomrun_fleet/exchange.py
@@ -137,21 +137,25 @@
 
 def merge_batch(
     store: Store, batch: RecordBatch | FloodedBatch | Delivery, source: InstanceId
-) -> list[tuple[HeldRecord, bool]]:
+) -> list[tuple[bytes, bool]]:
     """Merge a peer's records; unreadable ones are skipped and logged.
 
-    Returns the records, each with whether it was held here before.
+    Returns the fingerprint of each record, with whether it brought nothing new.
     """
     merged = []
     for data, age_ms in batch.records:
+        known = store.fingerprint_of(data)
+        if known is not None:
+            merged.append((known, True))
+            continue
         try:
             record = decode(data)
             if isinstance(record, Record):
                 _ = record.content
                 held = store.hold(record, age_ms)
-                is_known = store.holding(held.packed_fingerprint) is not None
-                store.merge_held(held, source)
-                merged.append((held, is_known))
+                is_new = store.merge_held(held, source)
+                store.remember(data, held)
+                merged.append((held.packed_fingerprint, not is_new))
         except CodecError as error:
             log.warning(f"record skipped: {error}", peer_id=source)
     return merged
--- a/packages/cardamomrun-fleet/src/cardamomrun_fleet/fleet.py
+++ b/packages/cardamomrun-fleet/src/cardamomrun_fleet/fleet.py
@@ -73,6 +73,7 @@
 # Peers that are asked to confirm a delivered record beyond those that have to.
 SPARE_COPY_COUNT = 2
 SNAPSHOT_WAIT_MS = 2_000
+SNAPSHOT_TICK_MS = 30
 SNAPSHOT_TIMEOUT_MS = 20_000
 # A peer of which nothing comes for this long may be cut off; another one is asked too.
 PULL_PATIENCE_MS = 300
@@ -103,10 +104,11 @@
 # Each seed after the first is tried this much later: two of them answer a start in the
 # usual case, and a fleet that starts at once opens fewer links to them.
 SEED_SPACING_MS = 250
-# Changes wait for each other, by the number of links that they go out on: a seed of a
-# fleet that starts has hundreds.
+# A change leaves at once if none left shortly before; those of a series wait for each
+# other, the longer the more links they go out on: a seed of a fleet that starts has
+# hundreds.
+FLOOD_SPACING_MS = 40.0
 FLOOD_MS_PER_LINK = 0.5
-FLOOD_FREE_LINKS = 16
 FLOOD_MAX_MS = 150.0
 # A leader confirms its record each 60 s by its wall clock. Two missed confirmations
 # and half a minute for different clocks show that no leader is heard, also where
@@ -153,6 +155,7 @@
         self._probed_ms = clock.now_ms()
         self._probed: MemberBody | None = None
         self._unflooded: dict[tuple[Kind, str], tuple[HeldRecord, Source]] = {}
+        self._flooded_ms = float("-inf")
         self._dissemination = Dissemination(self._random)
         self._is_announcing = False
         self._pulled: set[InstanceId] = set()
@@ -446,12 +449,16 @@
         self._unflooded[held.record.kind, held.record.key] = (held, source)
 
     def _flood_pause_ms(self) -> float:
-        link_count = len(self._links) - FLOOD_FREE_LINKS
-        return min(FLOOD_MAX_MS, max(0, link_count) * FLOOD_MS_PER_LINK)
+        link_count = len(self._links)
+        spacing_ms = min(
+            FLOOD_MAX_MS, max(FLOOD_SPACING_MS, link_count * FLOOD_MS_PER_LINK)
+        )
+        return max(0.0, self._flooded_ms + spacing_ms - self._clock.now_ms())
 
     def _flood(self) -> None:
         changes = list(self._unflooded.values())
         self._unflooded.clear()
+        self._flooded_ms = self._clock.now_ms()
         for peer_id in tuple(self._links):
             link = self._overlay_link(peer_id)
             if link is not None:
@@ -464,10 +471,13 @@
 
     def _take_flooded(self, link: Link, batch: FloodedBatch) -> None:
         merged = merge_batch(self._store, batch, link.peer_id)
-        for held, _ in merged:
-            self._dissemination.arrived(held.packed_fingerprint)
-            self._dissemination.peer_has(link.peer_id, held.packed_fingerprint)
-        if merged and all(is_known for _, is_known in merged):
+        for fingerprint, _ in merged:
+            self._dissemination.arrived(fingerprint)
+            self._dissemination.peer_has(link.peer_id, fingerprint)
+        # Of the records in a batch, some may have come first on this link although most
+        # come first on others.
+        known_count = sum(is_known for _, is_known in merged)
+        if merged and 2 * known_count > len(merged):
             self._dissemination.make_lazy(link.peer_id)
             link.send(Prune())
         else:
@@ -495,8 +505,12 @@
         """Send fingerprints and ask for missing records until none are left."""
         try:
             while self._dissemination.is_waiting and not self._stopping:
-                for _ in range(ANNOUNCE_MS // PULL_TICK_MS):
-                    await self._clock.sleep_ms(PULL_TICK_MS)
+                until_ms = self._clock.now_ms() + ANNOUNCE_MS
+                while self._clock.now_ms() < until_ms:
+                    is_missing = self._dissemination.is_missing
+                    await self._clock.sleep_ms(
+                        PULL_TICK_MS if is_missing else ANNOUNCE_MS
+                    )
                     self._send_pulls()
                 self._send_announcements()
         finally:
@@ -523,7 +537,7 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(SNAPSHOT_WAIT_MS / MS_PER_S):
                 while not self._has_enough_snapshots():
-                    await self._clock.sleep_ms(10)
+                    await self._clock.sleep_ms(SNAPSHOT_TICK_MS)
         if not self._pulled:
             log.warning("no peer answered; starting alone")
 
--- a/packages/cardamomrun-fleet/src/cardamomrun_fleet/store.py
+++ b/packages/cardamomrun-fleet/src/cardamomrun_fleet/store.py
@@ -26,6 +26,8 @@
 # The target scale needs about 5,000 records; a few KB each stay far below 128 MB.
 MAX_RECORD_COUNT = 50_000
 MAX_TOMBSTONE_COUNT = 50_000
+# Records that were lately seen in encoded form; a flood brings several copies of each.
+MAX_ENCODED_COUNT = 10_000
 MAX_BODY_BYTES = 4_000_000
 
 log = PartLog("fleet")
@@ -92,6 +94,7 @@
             {} for _ in range(BUCKET_COUNT)
         ]
         self._by_fingerprint: dict[bytes, HeldRecord] = {}
+        self._encoded: dict[bytes, bytes] = {}
         self._digests = [0] * BUCKET_COUNT
         self._tombstones: dict[tuple[Kind, str], _Tombstone] = {}
         self._expiries: list[tuple[float, int, Kind, str]] = []
@@ -225,6 +228,17 @@
         self._expire()
         return self._by_fingerprint.get(fingerprint)
 
+    def remember(self, encoded: bytes, held: HeldRecord) -> None:
+        """Note the encoded form of a live record, so that copies need no decoding."""
+        self._encoded[xxhash.xxh3_128_digest(encoded)] = held.packed_fingerprint
+        if len(self._encoded) > MAX_ENCODED_COUNT:
+            del self._encoded[next(iter(self._encoded))]
+
+    def fingerprint_of(self, encoded: bytes) -> bytes | None:
+        """Return the fingerprint of a record that is live and was seen in this form."""
+        fingerprint = self._encoded.get(xxhash.xxh3_128_digest(encoded))
+        return None if self.holding(fingerprint or b"") is None else fingerprint
+
     def everything(self) -> list[HeldRecord]:
         """Return all live records."""
         self._expire()
--- a/packages/cardamomrun-fleet/tests/test_store.py
+++ b/packages/cardamomrun-fleet/tests/test_store.py
@@ -143,3 +143,16 @@
     store.subscribe(Kind.CRASH, seen.append)
     store.put(crash())
     assert seen == [crash()]
+
+
+def test_copies_of_a_live_record_need_no_decoding():
+    """Guards against a flood whose copies cost as much as its records."""
+    clock = ManualClock()
+    store = Store(clock)
+    held = store.hold(crash(lifetime_ms=1_000))
+    assert store.fingerprint_of(held.encoded) is None
+    store.merge_held(held)
+    store.remember(held.encoded, held)
+    assert store.fingerprint_of(held.encoded) == held.packed_fingerprint
+    clock.advance_ms(1_001)
+    assert store.fingerprint_of(held.encoded) is None
