--- a/packages/cardamomrun-fleet/src/cardamomrun_fleet/dissemination.py
+++ b/packages/cardamomrun-fleet/src/cardamomrun_fleet/dissemination.py
@@ -17,7 +17,7 @@
 
 # Fingerprints wait this long, so that one message carries those of several changes and
 # a peer that names a record first is not told about it.
-ANNOUNCE_MS = 100
+ANNOUNCE_MS = 200
 # The body usually arrives on another link before a pull. The time is random: when a link
 # of the tree is missing, the first instance behind it brings the record to the others,
 # and if all asked at once, their links would form cycles that are pruned again.
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_registry.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_registry.py
@@ -24,6 +24,9 @@
 # by its answers; its record is dropped when it has been silent for this long.
 SILENT_MS = 45_000.0
 SWEEP_MS = 1_000
+# A server that renews here this often owes its record to this instance; each change of
+# the owner goes to the whole fleet, and calls that fail move servers to and fro.
+MOVED_COUNT = 3
 # Records of servers that fell silent are kept as long as a copy may be under way.
 SILENT_LIFETIME_MS = 600_000
 
@@ -61,6 +64,7 @@
         self._fleet = fleet
         self._control = control
         self._heard_ms: dict[ServerId, float] = {}
+        self._renewals: dict[ServerId, int] = {}
 
     async def announce(self, announcement: RoutedAnnouncement) -> None:
         """Take an announcement.
@@ -83,7 +87,11 @@
             return
         body = _body(announcement)
         owner_id = self._fleet.instance_id
-        if held is not None and _says_same(held, body) and held.owner_id == owner_id:
+        if (
+            held is not None
+            and _says_same(held, body)
+            and (held.owner_id == owner_id or not self._has_moved_here(server_id))
+        ):
             return
         if self._control.has_lost_contact():
             raise UnavailableError(
@@ -92,6 +100,7 @@
             )
         record = Record.of(Kind.ROUTED_SERVER, server_id, owner_id, version, body)
         self._fleet.store.put(record)
+        self._renewals.pop(server_id, None)
         _log.info(
             "a backend server announces itself",
             server_id=server_id,
@@ -100,6 +109,12 @@
             sequence=announcement.sequence,
         )
 
+    def _has_moved_here(self, server_id: ServerId) -> bool:
+        """Count a renewal at this instance; True once the server keeps to it."""
+        count = self._renewals.pop(server_id, 0) + 1
+        self._renewals[server_id] = count
+        return count >= MOVED_COUNT
+
     async def leave(self, server_id: ServerId, incarnation: int | None) -> None:
         """Retire a server for good, in the incarnation known if none is given.
 
--- a/packages/cardamomrun-gateway/tests/test_server_registry.py
+++ b/packages/cardamomrun-gateway/tests/test_server_registry.py
@@ -125,6 +125,18 @@
         world.announce(server_id="b2")
 
 
+def test_a_server_that_keeps_to_an_instance_owes_its_record_to_it():
+    """Guards against a flood for each call that moves a server for a moment."""
+    world = World()
+    world.announce()
+    world.fleet.instance_id = "c2"
+    owners = []
+    for sequence in range(5, 9):
+        world.announce(sequence=sequence)
+        owners.append(world.record().owner_id)
+    assert owners == ["c1", "c1", "c2", "c2"]
+
+
 def test_a_silent_server_is_dropped_and_can_return():
     world = World()
     world.announce()
