--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/domain_collector.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/domain_collector.py
@@ -45,10 +45,12 @@
 class Audience:
     """Receivers of one sequence of messages, and what they were told.
 
-    Each end is told in `told_count` messages, since datagrams may be lost.
+    Each end is told in `told_count` messages, since datagrams may be lost. Only
+    reporting instances need to know which of their reports are contained.
     """
 
     told_count: int
+    are_reporting: bool
     starts: deque[int] = field(default_factory=deque)
     next_end: int = 1
     changed: set[InstanceId] = field(default_factory=set)
@@ -84,9 +86,9 @@
         """True while no instance reports here."""
         return not self._reporters
 
-    def audience(self, told_count: int) -> Audience:
+    def audience(self, told_count: int, *, are_reporting: bool = True) -> Audience:
         """Return a new audience."""
-        audience = Audience(told_count, next_end=self._end_count + 1)
+        audience = Audience(told_count, are_reporting, next_end=self._end_count + 1)
         self._audiences.append(audience)
         return audience
 
@@ -238,7 +240,7 @@
         return tuple(ServiceCount(key, *counts) for key, counts in self._counts.items())
 
     def _taken(self, audience: Audience, now_ms: float) -> tuple[tuple[int, int], ...]:
-        listed = audience.changed
+        listed = audience.changed if audience.are_reporting else set()
         if now_ms - audience.roll_call_ms >= ROLL_CALL_MS:
             audience.roll_call_ms = now_ms
             listed = {*self._reporters, *self._left}
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/fleet_load.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/fleet_load.py
@@ -45,6 +45,8 @@
 SERVICE_MEAN_WEIGHT = 0.01
 # One answer that takes long must not keep a server out of use.
 SLOWNESS_MAX = 8.0
+# An instance that starts knows nothing of any server until the first messages come.
+UNTRIED_FIRST_MS = 2_000.0
 # How long an instance leaves a server alone that only it cannot reach.
 PATH_BLOCK_FIRST_MS = 1_000.0
 PATH_BLOCK_MAX_MS = 5_000.0
@@ -80,6 +82,16 @@
         """Return True while the server is slow after its start."""
         return now_ms - self.known_since_ms < self.body.warm_up_ms
 
+    def is_untried(self, now_ms: float) -> bool:
+        """Return True for a server that joined a while ago and has had no attempt."""
+        age_ms = now_ms - self.known_since_ms
+        return (
+            self.in_work_count == 0
+            and not self.health.has_evidence
+            and age_ms >= UNTRIED_FIRST_MS
+            and not self.is_warming_up(now_ms)
+        )
+
     def note_duration(self, duration_ms: float) -> None:
         """Take the time of a good answer."""
         mean_ms = duration_ms if self.mean_ms is None else self.mean_ms
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/load_reports.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/load_reports.py
@@ -310,7 +310,7 @@
         self._reports = reports
         self._clock = clock
         self._near = self.collector.audience(NEAR_TOLD_COUNT)
-        self._far = self.collector.audience(FAR_TOLD_COUNT)
+        self._far = self.collector.audience(FAR_TOLD_COUNT, are_reporting=False)
         self._near_timer = _Timer(clock, self._tell_near)
         self._far_timer = _Timer(clock, self._tell_far)
         self._urgent_timer = _Timer(clock, self._tell_urgent)
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/placement.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/placement.py
@@ -113,6 +113,9 @@
         if trial is not None:
             return Choice(trial, Reason.TRIAL)
         trusted = [server for server in servers if not server.health.is_doubted]
+        newcomer = self._newcomer(trusted, now_ms)
+        if newcomer is not None:
+            return Choice(newcomer, Reason.BEST)
         free = [server for server in trusted if not server.is_full]
         if free:
             return Choice(self._best(free, wish, now_ms), Reason.BEST)
@@ -128,6 +131,20 @@
             return Choice(self._best(floor, wish, now_ms), Reason.FLOOR)
         return None
 
+    def _newcomer(self, trusted: list[Server], now_ms: float) -> Server | None:
+        """Return a server that has joined and that nobody has used yet, if any.
+
+        Requests that may run once prefer servers with a record, so one of a service
+        that no idempotent request reaches would otherwise stay idle.
+        """
+        near = [
+            server
+            for server in trusted
+            if server.is_untried(now_ms)
+            and server.body.failure_domain == self._failure_domain
+        ]
+        return self._random.choice(near) if near else None
+
     def has_servers(self, service: str) -> bool:
         """Return True if any server of a service takes new work."""
         return any(True for _ in self._load.of_service(service))
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_health.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_health.py
@@ -73,6 +73,11 @@
         """True while the server gets trials only."""
         return self.doubted_since_ms is not None
 
+    @property
+    def has_evidence(self) -> bool:
+        """True once any attempt at the server was judged or seen to be accepted."""
+        return self.proven_ms > float("-inf") or self.recent_ms > 0.0
+
     def note(self, end: AttemptEnd, started_ms: float, ended_ms: float) -> bool:
         """Judge the end of an attempt; return True if doubt began or ended."""
         weight = FAILURE_WEIGHTS.get(end)
--- a/packages/cardamomrun-gateway/tests/load_play.py
+++ b/packages/cardamomrun-gateway/tests/load_play.py
@@ -114,7 +114,7 @@
         self.domain = domain
         self.collector = DomainCollector(clock, f"relay of {domain}")
         self.near = self.collector.audience(NEAR_TOLD_COUNT)
-        self.far = self.collector.audience(FAR_TOLD_COUNT)
+        self.far = self.collector.audience(FAR_TOLD_COUNT, are_reporting=False)
         self.due = set()
 
 
--- a/packages/cardamomrun-gateway/tests/test_placement.py
+++ b/packages/cardamomrun-gateway/tests/test_placement.py
@@ -164,6 +164,23 @@
     assert world.choose(is_idempotent=True)[1] is Reason.FLOOR
 
 
+def test_a_server_that_joined_is_used_although_nobody_has_proved_it():
+    """Guards against servers that are added and stay idle in services whose requests
+    may run once."""
+    bodies = [server_body(f"b{n}") for n in range(1, 4)]
+    world = World(*bodies, server_body("b9", warm_up_ms=3_000))
+    for server_id in ("b1", "b2", "b3"):
+        world.prove(server_id)
+    wishes = {"is_idempotent": False, "has_idempotent_peers": False}
+    assert {world.choose(**wishes)[0] for _ in range(20)} <= {"b1", "b2", "b3"}
+    world.clock.advance_ms(3_001)
+    for server_id in ("b1", "b2", "b3"):
+        world.prove(server_id)
+    assert world.choose(**wishes)[0] == "b9"
+    world.fill("b9", 1)
+    assert world.choose(**wishes)[0] != "b9"
+
+
 def test_excluded_and_blocked_servers_are_left_out():
     world = World(server_body("b1"), server_body("b2"))
     world.server("b2").blocked_until_ms = world.clock.now_ms() + 1
