Trust a server again after four good answers in a row

Cause, from played loads with servers that hang for 9 s and more and answer one request in four: of 115 lost requests that may run once, 35 went to servers that had been trusted again too early, 36 were sent in the first 0.3 s.

--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_health.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_health.py
@@ -14,8 +14,9 @@
 DOUBT_WEIGHT = 1.5
 # Share of the weight of earlier failures that is left after a good answer.
 GOOD_DECAY_RATIO = 0.5
-# A sick server still answers some requests, so one good answer proves little.
-GOODS_TO_TRUST = 2
+# A sick server still answers some requests: of one that fails three in four, two in a row
+# are good after one trial in sixteen, and four after one in 256.
+GOODS_TO_TRUST = 4
 # Half of the weight of an answer or failure is gone after this time.
 MEMORY_MS = 2_000.0
 # First pause before a doubted server gets a trial, and its growth with each failed
