Try seeds at once when they change

By reading: which peers are linked was worked out again only when members, lost links or the probe changed, so an instance that was alone kept its old seeds. The test fails without the change. Names and types of the load reports cleared up on reading the diff.

--- a/packages/cardamomrun-fleet/src/cardamomrun_fleet/fleet.py
+++ b/packages/cardamomrun-fleet/src/cardamomrun_fleet/fleet.py
@@ -716,7 +716,7 @@
             probed_id,
             self._synced_ms is None,
             frozenset(self._added.items()),
-            len(self._due_seeds()),
+            frozenset(self._due_seeds()),
         )
         if basis == self._wanted_basis or self._may_wait_for_members(basis):
             return
--- a/packages/cardamomrun-fleet/tests/test_fleet.py
+++ b/packages/cardamomrun-fleet/tests/test_fleet.py
@@ -78,6 +78,23 @@
     asyncio.run(check())
 
 
+def test_seeds_that_change_are_tried_at_once(tmp_path):
+    """Guards against an instance that stays alone since its first seeds are gone."""
+
+    async def check():
+        gone = node_settings(tmp_path, "gone").peer_address
+        one = Fleet(node_settings(tmp_path, "n0", seeds=[gone]), SystemClock())
+        two = Fleet(node_settings(tmp_path, "n1"), SystemClock())
+        await asyncio.gather(one.start(), two.start())
+        try:
+            one.use_seeds((two._settings.peer_address,))
+            await until(lambda: one.linked_peers() == {"n1"}, "linked", limit_s=2.0)
+        finally:
+            await asyncio.gather(one.stop(), two.stop())
+
+    asyncio.run(check())
+
+
 def test_delivery_counts_only_peers_that_confirm(tmp_path):
     async def check():
         async with running(tmp_path, 2, fleet_class=CuttableFleet) as (one, two):
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/fleet_load.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/fleet_load.py
@@ -178,7 +178,7 @@
             self._take_work(load, relay, own_report, now_ms)
         self._take_ends(relay, load, now_ms)
         self._notify()
-        return _count_others(load, relay, own_report)
+        return _counted_by_others(load, relay, own_report)
 
     def started(self, server: Server) -> None:
         """Count an attempt of this instance."""
@@ -262,9 +262,9 @@
     def _forget(self, relay: _Relay | None) -> None:
         if relay is None:
             return
-        self._count_others(relay, {})
+        self._use_counts(relay, {})
 
-    def _count_others(self, relay: _Relay, others: dict[int, int]) -> None:
+    def _use_counts(self, relay: _Relay, others: dict[int, int]) -> None:
         """Replace what a relay's instances, but this one, have in work."""
         for key, count in relay.others.items():
             server = self._by_key.get(key)
@@ -312,7 +312,7 @@
             server = self._by_key.get(work.server_key)
             if server is not None and work.accepted_ms is not None:
                 server.health.survived(now_ms - work.accepted_ms)
-        self._count_others(relay, others)
+        self._use_counts(relay, others)
 
     def _take_ends(self, relay: _Relay, load: DomainLoad, now_ms: float) -> None:
         for one in load.ended:
@@ -414,7 +414,7 @@
     return load.incarnation > relay.incarnation or is_over
 
 
-def _count_others(
+def _counted_by_others(
     load: DomainLoad, relay: _Relay, own_report: Callable[[int], OwnState | None]
 ) -> dict[int, tuple[int, int]]:
     """Return what instances but this one counted since the relay's last counts."""
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/load_reports.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/load_reports.py
@@ -14,6 +14,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from typing import Any
 
 from cardamomrun_base.clock import MS_PER_S, Clock
@@ -32,7 +33,7 @@
     service_key,
     split_batch,
 )
-from cardamomrun_gateway.load_model import DomainLoad
+from cardamomrun_gateway.load_model import DomainLoad, InstanceLoad
 from cardamomrun_gateway.own_load import OwnLoad
 from cardamomrun_gateway.report_relays import (
     COLLECT_MS,
@@ -333,7 +334,7 @@
         load = decode_load(body, self.collector.last_end)
         self._taken(has_changed=self.collector.take(load), is_urgent=is_urgent)
 
-    def take_own(self, load: Any, *, is_urgent: bool) -> None:
+    def take_own(self, load: InstanceLoad, *, is_urgent: bool) -> None:
         """Merge the report of this instance."""
         self._taken(has_changed=self.collector.take(load), is_urgent=is_urgent)
 
@@ -391,7 +392,7 @@
 class _Timer:
     """Calls back once at the earliest of the times that were asked for."""
 
-    def __init__(self, clock: Clock, callback: Any) -> None:
+    def __init__(self, clock: Clock, callback: Callable[[], None]) -> None:
         self._clock = clock
         self._callback = callback
         self._handle: asyncio.TimerHandle | None = None
