--- a/packages/cardamomrun-fleet/src/cardamomrun_fleet/fleet.py
+++ b/packages/cardamomrun-fleet/src/cardamomrun_fleet/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import random
+from collections import deque
 from collections.abc import Awaitable, Callable
 from functools import partial
 from typing import Any
@@ -104,9 +105,10 @@
 # Each seed after the first is tried this much later: two of them answer a start in the
 # usual case, and a fleet that starts at once opens fewer links to them.
 SEED_SPACING_MS = 250
-# A change leaves at once if none left shortly before; those of a series wait for each
-# other, the longer the more links they go out on: a seed of a fleet that starts has
-# hundreds.
+# A change leaves at once unless this many left shortly before; those of a long series
+# wait for each other, the longer the more links they go out on: a seed of a fleet that
+# starts has hundreds.
+FLOOD_BURST_COUNT = 10
 FLOOD_SPACING_MS = 40.0
 FLOOD_MS_PER_LINK = 0.5
 FLOOD_MAX_MS = 150.0
@@ -155,7 +157,7 @@
         self._probed_ms = clock.now_ms()
         self._probed: MemberBody | None = None
         self._unflooded: dict[tuple[Kind, str], tuple[HeldRecord, Source]] = {}
-        self._flooded_ms = float("-inf")
+        self._flooded_ms: deque[float] = deque(maxlen=FLOOD_BURST_COUNT)
         self._dissemination = Dissemination(self._random)
         self._is_announcing = False
         self._pulled: set[InstanceId] = set()
@@ -449,16 +451,19 @@
         self._unflooded[held.record.kind, held.record.key] = (held, source)
 
     def _flood_pause_ms(self) -> float:
+        if len(self._flooded_ms) < FLOOD_BURST_COUNT:
+            return 0.0
         link_count = len(self._links)
         spacing_ms = min(
             FLOOD_MAX_MS, max(FLOOD_SPACING_MS, link_count * FLOOD_MS_PER_LINK)
         )
-        return max(0.0, self._flooded_ms + spacing_ms - self._clock.now_ms())
+        due_ms = self._flooded_ms[0] + FLOOD_BURST_COUNT * spacing_ms
+        return max(0.0, due_ms - self._clock.now_ms())
 
     def _flood(self) -> None:
         changes = list(self._unflooded.values())
         self._unflooded.clear()
-        self._flooded_ms = self._clock.now_ms()
+        self._flooded_ms.append(self._clock.now_ms())
         for peer_id in tuple(self._links):
             link = self._overlay_link(peer_id)
             if link is not None:
--- a/packages/cardamomrun-fleet/tests/test_fleet.py
+++ b/packages/cardamomrun-fleet/tests/test_fleet.py
@@ -1,6 +1,7 @@
 """Real fleets in one process on a loopback address."""
 
 import asyncio
+import time
 from dataclasses import dataclass, replace
 
 import pytest
@@ -78,6 +79,27 @@
     asyncio.run(check())
 
 
+def test_a_few_changes_leave_at_once_and_a_long_series_together(tmp_path):
+    """Guards against changes that wait for each other, and floods of single ones."""
+
+    async def check():
+        async with running(tmp_path, 2) as (one, two):
+            await asyncio.sleep(0.5)
+            for number in range(3):
+                begun_s = time.monotonic()
+                one.store.put(crash(f"few-{number}"))
+                await until(lambda n=number: holds(two, f"few-{n}"), "one change")
+                assert time.monotonic() - begun_s < 0.03
+            sent_count = one.traffic.sent_count
+            for number in range(100):
+                one.store.put(crash(f"many-{number}"))
+                await asyncio.sleep(0.002)
+            await until(lambda: holds(two, "many-99"), "the last change")
+            assert one.traffic.sent_count - sent_count < 40
+
+    asyncio.run(check())
+
+
 def test_seeds_that_change_are_tried_at_once(tmp_path):
     """Guards against an instance that stays alone since its first seeds are gone."""
 
