Check by the server's own pace that refusals hold up nobody

The stand-in's drops count now: at most 10 of 50 ms each until a refusal or an unproven answer is known, the half second of before.

--- a/packages/cardamomrun-gateway/tests/builders.py
+++ b/packages/cardamomrun-gateway/tests/builders.py
@@ -342,7 +342,8 @@
 
     def __init__(self, begin, repeated, pause_s):
         self._begin, self._repeated, self._pause_s = begin, repeated, pause_s
-        self.connection_count = self.closed_count = self.sent_bytes = 0
+        self.connection_count = self.closed_count = 0
+        self.sent_count = self.sent_bytes = 0
 
     async def start(self):
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -359,6 +360,7 @@
             while True:
                 writer.write(self._repeated)
                 await writer.drain()
+                self.sent_count += 1
                 self.sent_bytes += len(self._repeated)
                 await asyncio.sleep(self._pause_s)
         except (asyncio.IncompleteReadError, ConnectionError):
--- a/packages/cardamomrun-gateway/tests/test_dispatch.py
+++ b/packages/cardamomrun-gateway/tests/test_dispatch.py
@@ -172,6 +172,8 @@
 }
 PAUSES_S = {"at full speed": 0.0, "in drops": 0.05}
 # Refusals and answers that cannot be the server's are known by their head.
+# In drops of 50 ms: half a second, of a deadline of one and a half.
+DROPS_UNTIL_KNOWN = 10
 KNOWN_BY_HEAD = ("a refusal's body", "the body of an answer without proof")
 
 
@@ -194,6 +196,9 @@
                 assert received.status == 502
             else:
                 assert received.status in (502, 504)
+            if kind in KNOWN_BY_HEAD and pace == "in drops":
+                # The server's own pace is the clock here, so that load changes nothing.
+                assert bad.sent_count <= DROPS_UNTIL_KNOWN
             await until(lambda: bad.closed_count == bad.connection_count)
             assert bad.sent_bytes < 40_000_000
 
