--- a/packages/cardamomrun-base/src/cardamomrun_base/headers.py
+++ b/packages/cardamomrun-base/src/cardamomrun_base/headers.py
@@ -9,6 +9,7 @@
 DEADLINE_MS = "Cardamomrun-Deadline-Ms"
 INSTANCE = "Cardamomrun-Instance"
 NOT_RUN = "Cardamomrun-Not-Run"
+RATE_LIMIT = "Cardamomrun-Rate-Limit"
 CUSTOMER = "Cardamomrun-Customer"
 IDEMPOTENCY_KEY = "Idempotency-Key"
 RETRY_AFTER = "Retry-After"
@@ -24,11 +25,13 @@
 
     A backend server echoes `request_id` and doesn't run a request if `expected_server`
     names another server. It sets `not_run` on a response if it did not run the request
-    and, where `success_proof` is configured, sets that on each response of its own.
+    and, where `success_proof` is configured, sets that on each response of its own. In
+    `rate_limit` it states how many requests a second it accepts from all instances.
     """
 
     request_id: str = REQUEST_ID
     deadline_ms: str = DEADLINE_MS
     expected_server: str = "Cardamomrun-Expected-Server"
     not_run: str = NOT_RUN
+    rate_limit: str = RATE_LIMIT
     success_proof: str | None = None
--- a/packages/cardamomrun-base/src/cardamomrun_base/model.py
+++ b/packages/cardamomrun-base/src/cardamomrun_base/model.py
@@ -18,6 +18,7 @@
     "CrashBody",
     "EjectionsBody",
     "EnvironmentBody",
+    "RateLimitBody",
     "RecordKind",
     "LeaderBody",
     "MemberBody",
@@ -61,6 +62,7 @@
     ROSTER = "roster"
     ROUTING = "routing"
     ROUTED_SERVER = "routed-server"
+    RATE_LIMIT = "rate-limit"
 
 
 class MemberPhase(StrEnum):
@@ -305,3 +307,16 @@
     slots: int
     phase: BackendPhase
     warm_up_ms: int = 0
+
+
+@message("rate-limit")
+@dataclass(frozen=True)
+class RateLimitBody:
+    """The requests a second that a backend server accepts from the whole fleet.
+
+    `limit_per_s` is None once a response showed that the limit has ended.
+    """
+
+    server_id: ServerId
+    incarnation: int
+    limit_per_s: float | None
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/dispatch.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/dispatch.py
@@ -248,6 +248,9 @@
         )
         self._tried_server_ids.add(choice.server.body.server_id)
         self._attempt_count += 1
+        limit = choice.server.limit
+        if limit is not None:
+            metrics.LIMITED_ATTEMPTS.labels(self._service).inc()
         _log.info(
             f"chose a backend server: {choice.reason.name.lower()}",
             request_id=self._request.request_id,
@@ -257,6 +260,7 @@
             attempt=attempt.number,
             in_work=choice.server.in_flight_count,
             slots=choice.server.body.slots,
+            limit_per_s=None if limit is None else limit.per_s,
         )
         task = asyncio.create_task(attempt.run())
         self._running[task] = attempt
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/fleet_load.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/fleet_load.py
@@ -24,6 +24,7 @@
     ServerId,
 )
 from cardamomrun_gateway.load_model import DomainLoad, ReportedState, instance_key
+from cardamomrun_gateway.rate_limit import StatedLimit
 from cardamomrun_gateway.server_health import AttemptEnd, ServerHealth
 
 __all__ = ["FleetLoad", "Server"]
@@ -68,6 +69,7 @@
     mean_ms: float | None = None
     blocked_until_ms: float = float("-inf")
     block_ms: float = PATH_BLOCK_FIRST_MS
+    limit: StatedLimit | None = None
 
     @property
     def in_flight_count(self) -> int:
@@ -150,6 +152,10 @@
         """Return a server that accepts new requests, or None."""
         return self._by_id.get(server_id)
 
+    def by_key(self, key: int) -> Server | None:
+        """Return the server that reports identify by this key, or None."""
+        return self._by_key.get(key)
+
     def is_current(self, server: Server) -> bool:
         """Return False once a server has left or has a newer incarnation."""
         return self._by_id.get(server.body.server_id) is server
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/metrics.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/metrics.py
@@ -6,6 +6,7 @@
     "ADDED_SECONDS",
     "ATTEMPTS",
     "CONNECTIONS",
+    "LIMITED_ATTEMPTS",
     "REFUSALS",
     "REQUESTS",
     "REQUEST_SECONDS",
@@ -41,3 +42,8 @@
     "Connections opened to backend servers.",
     ("service",),
 )
+LIMITED_ATTEMPTS = Counter(
+    "cardamomrun_routed_limited_attempts",
+    "Attempts at backend servers that state a limit for all instances together.",
+    ("service",),
+)
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_attempt.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_attempt.py
@@ -19,6 +19,7 @@
     ServerConnections,
 )
 from cardamomrun_gateway.server_health import AttemptEnd
+from cardamomrun_gateway.server_limits import ServerLimits, parse_limit
 from cardamomrun_requests.body_channel import BodyChannel, IncompleteBodyError
 from cardamomrun_requests.framing import has_no_body
 from cardamomrun_requests.sending import cancel_sending, raise_client_error
@@ -102,6 +103,7 @@
     connections: ServerConnections
     reports: LoadReports
     route_times: RouteTimes
+    limits: ServerLimits
 
 
 @dataclass
@@ -242,6 +244,7 @@
             self._outcome.end = AttemptEnd.SHED
             if start_line.code == STATUS_MISDIRECTED:
                 self._outcome.end = AttemptEnd.REFUSED
+            self._record_limit(headers, is_success=False)
             await _drain(answer)
             return NotExecuted(
                 "the server did not run the request", _retry_after(headers)
@@ -258,6 +261,12 @@
             ServerResponse(start_line, headers, body_start, body_rest)
         )
 
+    def _record_limit(self, headers: HTTPHeaders, *, is_success: bool) -> None:
+        stated = headers.get(self._tools.header_names.rate_limit)
+        self._tools.limits.record_response(
+            self.server, parse_limit(stated), self.started_ms, is_success=is_success
+        )
+
     async def _buffer_body(
         self, answer: UpstreamResponse, start_line: ResponseStartLine
     ) -> tuple[bytes, BodyChannel | None]:
@@ -285,6 +294,7 @@
             return ResponseLost(
                 f"a response with status {start_line.code} is not the server's"
             )
+        self._record_limit(headers, is_success=False)
         if "Content-Encoding" in headers and proof is not None:
             self._outcome.end = AttemptEnd.BROKEN_OFF
             return ResponseLost("the response was encoded on its way")
@@ -301,6 +311,7 @@
             self._outcome.end = AttemptEnd.ERROR
             return ResponseLost(f"the server responded with {code}", response)
         self._outcome.end = AttemptEnd.GOOD
+        self._record_limit(response.headers, is_success=True)
         duration_ms = self._tools.clock.now_ms() - self.started_ms
         self._tools.route_times.record(self._routed.route, duration_ms)
         return response
--- a/packages/cardamomrun-gateway/tests/builders.py
+++ b/packages/cardamomrun-gateway/tests/builders.py
@@ -51,6 +51,7 @@
 from cardamomrun_gateway.routed_request import RouteTimes
 from cardamomrun_gateway.server_attempt import AttemptDependencies
 from cardamomrun_gateway.server_connections import ServerConnections
+from cardamomrun_gateway.server_limits import ServerLimits
 from cardamomrun_gateway.table import RoutingTable
 from cardamomrun_requests.background import BackgroundTasks
 
@@ -254,7 +255,12 @@
         )
         connections = ServerConnections(settings, self.clock, self.load)
         tools = AttemptDependencies(
-            self.clock, NAMES, connections, self.reports, RouteTimes()
+            self.clock,
+            NAMES,
+            connections,
+            self.reports,
+            RouteTimes(),
+            ServerLimits(self.clock, self.fleet, self.load),
         )
         placement = Placement(self.clock, self.load, "kelowna-a", 0.7, random.Random(1))
         self.front = GatewayFront(
--- /dev/null
+++ b/packages/cardamomrun-gateway/tests/test_server_limits.py
@@ -0,0 +1,108 @@
+import asyncio
+
+import pytest
+
+from cardamomrun_base.clock import ManualClock
+from cardamomrun_bench.scripted_server import ScriptedServer, Step
+from cardamomrun_gateway.fleet_load import FleetLoad
+from cardamomrun_gateway.server_limits import LIMIT_LIFETIME_MS, ServerLimits
+
+from .builders import (
+    NAMES,
+    FakeFleet,
+    gateway,
+    not_run,
+    response,
+    server_body,
+    server_record,
+)
+
+
+class Instance:
+    """What one instance knows of the limits of servers."""
+
+    def __init__(self, fleet=None, bodies=None):
+        self.clock = ManualClock()
+        self.fleet = fleet or FakeFleet("e1")
+        self.load = FleetLoad(self.clock, self.fleet.store, "e1")
+        self.limits = ServerLimits(self.clock, self.fleet, self.load)
+        for body in [server_body()] if bodies is None else bodies:
+            self.fleet.store.put(server_record(body))
+
+    @property
+    def server(self):
+        return self.load.get("b1")
+
+    def record(self, limit_per_s, *, started_ms=None, is_success=True):
+        if started_ms is None:
+            started_ms = self.clock.now_ms()
+        self.clock.advance_ms(10)
+        self.limits.record_response(
+            self.server, limit_per_s, started_ms, is_success=is_success
+        )
+
+    def limit_per_s(self):
+        return None if self.server.limit is None else self.server.limit.per_s
+
+
+def test_a_limit_is_known_until_a_later_answer_states_none():
+    instance = Instance()
+    instance.record(2.0)
+    instance.record(3.0)
+    assert instance.limit_per_s() == 3.0
+    instance.record(None, is_success=False)
+    instance.record(None, started_ms=15.0)
+    assert instance.limit_per_s() == 3.0
+    instance.record(None)
+    assert instance.limit_per_s() is None
+
+
+def test_an_instance_that_starts_later_knows_the_limit_whatever_arrives_first():
+    first = Instance()
+    first.record(2.0)
+    assert Instance(first.fleet).limit_per_s() == 2.0
+    late = Instance(bodies=())
+    for record in reversed(first.fleet.store.records.values()):
+        late.fleet.store.put(record)
+    assert late.limit_per_s() == 2.0
+
+
+def test_a_limit_does_not_outlast_the_server_that_stated_it():
+    instance = Instance()
+    instance.record(2.0)
+    instance.fleet.store.put(server_record(server_body(incarnation=2)))
+    assert instance.limit_per_s() is None
+
+
+def test_a_limit_that_nothing_confirms_is_forgotten():
+    instance = Instance()
+    instance.record(2.0)
+    instance.clock.advance_ms(LIMIT_LIFETIME_MS)
+    instance.fleet.store.records = {
+        key: record
+        for key, record in instance.fleet.store.records.items()
+        if record.lifetime_ms is None
+    }
+    instance.limits.refresh()
+    assert instance.limit_per_s() is None
+
+
+@pytest.mark.parametrize(
+    ("answer", "expected"),
+    [
+        (response(**{NAMES.rate_limit: "2.5"}), 2.5),
+        (response(status=500, **{NAMES.rate_limit: "2"}), 2.0),
+        (not_run().replace(b"\r\n", b"\r\nCardamomrun-Rate-Limit: 3\r\n", 1), 3.0),
+        (response(proof=False, **{NAMES.rate_limit: "2"}), None),
+        (response(**{NAMES.rate_limit: "many"}), None),
+        (response(), None),
+    ],
+)
+def test_a_limit_is_read_from_each_answer_of_the_server_itself(answer, expected):
+    async def check():
+        async with gateway(ScriptedServer([Step(answer)])) as running:
+            await running.call("POST", "/b/x", b"order")
+            limit = running.load.get("b1").limit
+            assert (None if limit is None else limit.per_s) == expected
+
+    asyncio.run(check())
--- a/packages/cardamomrun-node/src/cardamomrun_node/gateway_node.py
+++ b/packages/cardamomrun-node/src/cardamomrun_node/gateway_node.py
@@ -21,6 +21,7 @@
 from cardamomrun_gateway.routed_request import RouteTimes
 from cardamomrun_gateway.server_attempt import AttemptDependencies
 from cardamomrun_gateway.server_connections import ServerConnections
+from cardamomrun_gateway.server_limits import ServerLimits
 from cardamomrun_gateway.server_registry import ServerRegistry
 from cardamomrun_gateway.table import RoutingTable
 from cardamomrun_node.parts import PartLoop, cancel_task, run_with_restarts
@@ -127,8 +128,9 @@
     async def _start_entry(self, stack: AsyncExitStack) -> None:
         settings, clock, load = self._settings, self._clock, self._load
         connections = ServerConnections(self._gateway, clock, load)
+        limits = ServerLimits(clock, self.fleet, load)
         attempt_tools = AttemptDependencies(
-            clock, self._headers, connections, self._reports, RouteTimes()
+            clock, self._headers, connections, self._reports, RouteTimes(), limits
         )
         placement = Placement(
             clock, load, settings.failure_domain, self._gateway.floor_ratio
