--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -12,7 +12,7 @@
 from .machines import Instance, Instances
 from .servers import ServerMode, StandInServer
 
-__all__ = ["Fault", "FaultInjector", "draw_faults"]
+__all__ = ["Fault", "FaultInjector", "draw_faults", "draw_limits"]
 
 KINDS = (
     "pause", "kill", "term", "hup", "wipe", "sick", "sick", "silence", "reset", "depart",
@@ -51,6 +51,20 @@
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
+def draw_limits(seed: int, duration_s: float) -> list[Fault]:
+    """Return when servers begin to name limits; drawn apart from the other faults.
+
+    They last long enough to be checked, and the selector gives the limit too.
+    """
+    rng = random.Random(f"limits of {seed}")
+    return [
+        Fault(
+            "limit", rng.uniform(0.0, 0.3 * duration_s), 9.0, rng.randrange(1_000_000)
+        )
+        for _ in range(rng.choice((0, 1, 2)))
+    ]
+
+
 class FaultInjector:
     """Injects faults into the processes and connections of one run."""
 
@@ -163,6 +177,19 @@
         await asyncio.sleep(fault.length_s)
         server.mode = ServerMode.HEALTHY
 
+    async def _limit(self, fault: Fault) -> None:
+        """Let a backend server name a limit of 1 to 8 requests a second for a while."""
+        server = self._selected_server(fault)
+        if server.limit_per_s is not None:
+            return
+        server.limit_per_s = 1.0 + fault.selector % 8
+        self._ledger.record_fault(
+            f"{server.server_id} names a limit of {server.limit_per_s} a second"
+        )
+        await asyncio.sleep(fault.length_s)
+        server.limit_per_s = None
+        self._ledger.limited_arrivals_s.pop(server.server_id, None)
+
     async def _silence(self, fault: Fault) -> None:
         """Drop data on the open connections of a backend server."""
         server = self._selected_server(fault)
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -11,6 +11,11 @@
 # A server gets no new work later than this after its departure was acknowledged; the
 # guarantee is 2 s, and the rest allows for a loaded machine.
 DRAIN_S = 2.5
+# From `LIMIT_SETTLE_S` after a server first named a limit, it gets at most one and a
+# half times what that allows and `LIMIT_SLACK_COUNT` requests in any `LIMIT_WINDOW_S`.
+LIMIT_SETTLE_S = 3.0
+LIMIT_WINDOW_S = 4.0
+LIMIT_SLACK_COUNT = 5
 
 
 @dataclass(frozen=True)
@@ -39,6 +44,9 @@
     departed_s: dict[str, float] = field(default_factory=dict)
     faults: list[str] = field(default_factory=list)
     violations: list[str] = field(default_factory=list)
+    limited_arrivals_s: dict[str, list[float]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
     served_count: int = 0
     caller_errors: Counter[str] = field(default_factory=Counter)
 
@@ -87,6 +95,19 @@
                 f"{request_id} got the answer to another request: {echo} {body[:60]!r}"
             )
 
+    def record_limited_arrival(self, server_id: str, limit_per_s: float) -> None:
+        """Record a request at a server that names a limit, and check the limit."""
+        now_s = time.monotonic()
+        arrivals_s = self.limited_arrivals_s[server_id]
+        arrivals_s.append(now_s)
+        from_s = max(arrivals_s[0] + LIMIT_SETTLE_S, now_s - LIMIT_WINDOW_S)
+        count = sum(at_s >= from_s for at_s in arrivals_s)
+        if count > 1.5 * LIMIT_WINDOW_S * limit_per_s + LIMIT_SLACK_COUNT:
+            self._append_violation(
+                f"{server_id} got {count} requests in {LIMIT_WINDOW_S} s and names a "
+                f"limit of {limit_per_s} a second"
+            )
+
     def record_fault(self, text: str) -> None:
         """Record an injected fault, for the report of a violation."""
         self.faults.append(f"{time.monotonic():.3f} {text}")
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -20,7 +20,7 @@
 from cardamomrun_bench.caller import ClientError, PooledClient
 
 from ..adapter.builders import manifest, route_fields
-from .faults import FaultInjector, draw_faults
+from .faults import FaultInjector, draw_faults, draw_limits
 from .ledger import Ledger, SentRequest
 from .machines import FRONT_PORT, READY_PORT, Instances
 from .servers import StandInServer
@@ -93,6 +93,7 @@
         faults = draw_faults(
             self.options.seed, self.options.duration_s, self.options.fault_count
         )
+        faults += draw_limits(self.options.seed, self.options.duration_s)
         await asyncio.gather(*(injector.inject(fault) for fault in faults))
         await injector.heal()
         await self._check_recovery()
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -48,6 +48,8 @@
     ) -> None:
         self.server_id = f"i-{number}"
         self.mode = ServerMode.HEALTHY
+        # Requests a second that the server takes from all instances, if it names a limit.
+        self.limit_per_s: float | None = None
         self.relay: Relay | None = None
         self._host = host
         self._ledger = ledger
@@ -145,6 +147,9 @@
 
     async def _serve(self) -> None:
         server, headers = self._server, self.request.headers
+        if server.limit_per_s is not None:
+            self.set_header("Server-Limit", str(server.limit_per_s))
+            self._ledger.record_limited_arrival(server.server_id, server.limit_per_s)
         mode = server.mode
         request_id = headers.get("Cardamomrun-Attempt-Id", "")
         self.set_header("Cardamomrun-Attempt-Id", request_id)
