--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_attempt.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_attempt.py
@@ -52,6 +52,9 @@
 # server's own header shows that. Without it they are not forwarded.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 STATUS_MISDIRECTED = 421
+# A choice that is older when the connection is open was made before a pause of the
+# process: the server may have left or failed meanwhile. Connecting takes at most 200 ms.
+CHOICE_LIFETIME_MS = 500.0
 
 # Limits for reading the body of a refusal, so that its connection can be kept. The
 # request waits meanwhile although another server may have a free slot.
@@ -184,6 +187,8 @@
         except ConnectError:
             self._outcome.end = AttemptEnd.UNREACHABLE
             return NotExecuted("the server cannot be reached")
+        if self._tools.clock.now_ms() - self.started_ms > CHOICE_LIFETIME_MS:
+            return NotExecuted("the process was paused after it chose the server")
         if self._permit is not None and self._permit.has_expired(self._tools.clock):
             return NotExecuted("the permit for the server's limit has expired")
         return await self._exchange(self._connection)
--- a/packages/cardamomrun-gateway/tests/builders.py
+++ b/packages/cardamomrun-gateway/tests/builders.py
@@ -254,7 +254,9 @@
         self.reports = LoadReports(
             self.settings, self.clock, self.fleet, self.load, self.budget
         )
-        connections = ServerConnections(settings, self.clock, self.load)
+        self.connections = connections = ServerConnections(
+            settings, self.clock, self.load
+        )
         self.limits = ServerLimits(self.clock, self.fleet, self.load)
         tools = AttemptDependencies(
             self.clock, NAMES, connections, self.reports, RouteTimes(), self.limits
--- a/packages/cardamomrun-gateway/tests/test_dispatch.py
+++ b/packages/cardamomrun-gateway/tests/test_dispatch.py
@@ -503,3 +503,24 @@
             assert running.load.get("b1").health.is_suspected is is_suspected
 
     asyncio.run(main())
+
+
+def test_a_server_chosen_before_a_pause_is_chosen_anew():
+    async def check():
+        servers = [ScriptedServer([Step(response())]) for _ in range(2)]
+        async with gateway(*servers) as running:
+            acquire = running.connections.acquire
+
+            async def pause_once(server, *, is_idempotent):
+                connection = await acquire(server, is_idempotent=is_idempotent)
+                running.connections.acquire = acquire
+                running.clock.offset_ms += 800
+                return connection
+
+            running.connections.acquire = pause_once
+            answer = await running.call("POST", "/b/x", b"order")
+            assert answer.status == 200
+            assert [len(server.heads) for server in servers].count(1) == 1
+            assert sum(server.connection_count for server in servers) == 2
+
+    asyncio.run(check())
