--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/placement.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/placement.py
@@ -145,8 +145,10 @@
         free = [server for server in trusted if not server.is_full]
         unlimited = [s for s in free if s.limit is None or s.limit.is_granted_here]
         if unlimited:
+            accepting = [s for s in unlimited if not s.health.is_shedding(now_ms)]
             return Choice(
-                self._cheapest(unlimited, criteria, now_ms), ChoiceReason.BEST
+                self._cheapest(accepting or unlimited, criteria, now_ms),
+                ChoiceReason.BEST,
             )
         if free:
             return Choice(self._cheapest(free, criteria, now_ms), ChoiceReason.LIMITED)
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_health.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_health.py
@@ -24,6 +24,11 @@
 TRIAL_FIRST_MS = 1_000.0
 TRIAL_GROWTH_FACTOR = 1.5
 TRIAL_MAX_MS = 3_000.0
+# A server that refused a request as too busy gets others only if no other server is
+# free for this long; the time grows while it goes on refusing.
+SHED_FIRST_MS = 500.0
+SHED_GROWTH_FACTOR = 2.0
+SHED_MAX_MS = 4_000.0
 
 
 class AttemptEnd(IntEnum):
@@ -72,6 +77,8 @@
     recent_good: float = 0.0
     recent_failed: float = 0.0
     recent_ms: float = 0.0
+    shed_until_ms: float = float("-inf")
+    shed_pause_ms: float = 0.0
 
     @property
     def is_suspected(self) -> bool:
@@ -85,6 +92,8 @@
 
     def record_end(self, end: AttemptEnd, started_ms: float, ended_ms: float) -> bool:
         """Record how an attempt ended; return True if suspicion began or ended."""
+        if end is AttemptEnd.SHED:
+            self._record_shed(started_ms, ended_ms)
         weight = FAILURE_WEIGHTS.get(end)
         if end is AttemptEnd.GOOD:
             self._add_recent(1.0, 0.0, ended_ms)
@@ -98,6 +107,10 @@
         """Record that the server accepted an attempt begun at `started_ms`."""
         self.last_accepted_ms = max(self.last_accepted_ms, started_ms)
 
+    def is_shedding(self, now_ms: float) -> bool:
+        """Return True for a while after the server refused a request as too busy."""
+        return now_ms < self.shed_until_ms
+
     def suspected_for_ms(self, now_ms: float) -> float:
         """Return for how long the server has been suspected; 0 if it is not."""
         if self.suspected_since_ms is None:
@@ -110,6 +123,16 @@
         good, failed = self.recent_good * decay, self.recent_failed * decay
         return (good + 1.0) / (good + failed + 1.0)
 
+    def _record_shed(self, started_ms: float, ended_ms: float) -> None:
+        if started_ms < self.shed_until_ms:
+            # Sent before the first refusal was known, or since no other was free.
+            self.shed_until_ms = max(self.shed_until_ms, ended_ms + self.shed_pause_ms)
+            return
+        is_again = started_ms - self.shed_until_ms < self.shed_pause_ms
+        pause_ms = self.shed_pause_ms * SHED_GROWTH_FACTOR if is_again else 0.0
+        self.shed_pause_ms = min(SHED_MAX_MS, max(SHED_FIRST_MS, pause_ms))
+        self.shed_until_ms = ended_ms + self.shed_pause_ms
+
     def _add_recent(self, good: float, failed: float, at_ms: float) -> None:
         decay = self._decay_factor(at_ms)
         self.recent_good = self.recent_good * decay + good
--- a/packages/cardamomrun-gateway/tests/load_play.py
+++ b/packages/cardamomrun-gateway/tests/load_play.py
@@ -50,6 +50,8 @@
     fault_interval_ms: float = 9_000.0
     reset_ratio: float = 0.85
     lossy_server_ratio: float = 0.0
+    shedding_server_ratio: float = 0.0
+    shed_ratio: float = 0.6
     lost_response_ratio: float = 0.0
     report_delay_ms: float = 12.0
     remote_factor: float = 1.0
@@ -70,6 +72,7 @@
     lost_count: int = 0
     refused_count: int = 0
     retry_count: int = 0
+    shed_count: int = 0
     run_twice_count: int = 0
     latencies_ms: list = field(default_factory=list)
     lost_by_kind: dict = field(default_factory=lambda: {True: 0, False: 0})
@@ -86,6 +89,7 @@
         self.queue = deque()
         self.offset_ms = rng.uniform(0, settings.fault_interval_ms)
         self.faulty_by_interval = {}
+        self.is_shedding = rng.random() < settings.shedding_server_ratio
         self.loses_responses = rng.random() < settings.lossy_server_ratio
 
     def is_faulty(self, now_ms):
@@ -226,6 +230,9 @@
         ):
             end = (request, server, token, started_ms, AttemptEnd.RESET)
             self.at(now_ms + RESET_MS, self._end, *end)
+        elif server_model.is_shedding and self.rng.random() < self.settings.shed_ratio:
+            end = (request, server, token, started_ms, AttemptEnd.SHED)
+            self.at(now_ms + RESET_MS, self._end, *end)
         elif server_model.running < self.settings.slots:
             self._start_work(server_model, request, server, token, started_ms)
         elif len(server_model.queue) < self.settings.queue_count:
@@ -269,6 +276,7 @@
             self.counts.lost_count += late
             self.counts.latencies_ms.append(now_ms - request.arrived_ms)
         elif end is AttemptEnd.SHED:
+            self.counts.shed_count += 1
             request.held_since_ms = now_ms
             self._choose_server(request)
         elif request.is_idempotent and request.sent_count < 2:
--- a/packages/cardamomrun-gateway/tests/test_placement.py
+++ b/packages/cardamomrun-gateway/tests/test_placement.py
@@ -276,3 +276,22 @@
     # The median work time is 630 ms; queues would add to it.
     assert latencies_ms[len(latencies_ms) // 2] < 1.25 * 630
     assert counts.served_ratio > 0.97
+
+
+@pytest.mark.parametrize("rate_per_s", [170.0, 260.0])
+def test_servers_that_shed_do_not_use_up_the_retry_budget(rate_per_s):
+    """Guards against requests that go on to servers which just refused others."""
+    counts = simulate(
+        rate_per_s=rate_per_s,
+        faulty_ratio=0.0,
+        shedding_server_ratio=0.3,
+        duration_ms=15_000.0,
+    )
+    # A quarter of a budget of a fifth of the requests.
+    assert counts.shed_count <= 0.05 * counts.request_count
+    assert counts.served_ratio >= 0.99
+
+
+def test_a_service_that_sheds_everywhere_is_used_as_before():
+    counts = simulate(faulty_ratio=0.0, shedding_server_ratio=1.0, duration_ms=10_000.0)
+    assert counts.served_ratio >= 0.99
--- a/packages/cardamomrun-gateway/tests/test_server_health.py
+++ b/packages/cardamomrun-gateway/tests/test_server_health.py
@@ -86,3 +86,21 @@
     for index in range(20):
         health.record_end(GOOD, 10 + index, 20 + index)
     assert health.success_ratio(40) > 0.75
+
+
+def test_a_server_that_sheds_is_left_alone_for_longer_each_time():
+    health = ServerHealth()
+    until_ms = []
+    now_ms = 1_000.0
+    for _ in range(5):
+        health.record_end(AttemptEnd.SHED, now_ms, now_ms + 1)
+        # An attempt begun before the refusal was known extends the pause only.
+        health.record_end(AttemptEnd.SHED, now_ms, now_ms + 2)
+        assert health.is_shedding(now_ms + 3)
+        assert not health.is_suspected
+        until_ms.append(health.shed_until_ms - now_ms)
+        now_ms = health.shed_until_ms + 1
+    assert until_ms == [502.0, 1_002.0, 2_002.0, 4_002.0, 4_002.0]
+    now_ms += 5_000
+    health.record_end(AttemptEnd.SHED, now_ms, now_ms + 1)
+    assert health.shed_until_ms == now_ms + 501
