--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/dispatch.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/dispatch.py
@@ -202,7 +202,7 @@
                 if response_of_failed is not None:
                     return response_of_failed
             elif self._should_hedge(routed):
-                await self._start_hedge(routed)
+                self._start_hedge(routed)
 
     async def _wait(self, routed: RoutedRequest) -> None:
         """Wait until an attempt ends or becomes overdue."""
@@ -248,6 +248,11 @@
 
     async def _start_attempt(self, routed: RoutedRequest) -> None:
         choice, permit = await self._choose_server(routed)
+        self._launch_attempt(routed, choice, permit)
+
+    def _launch_attempt(
+        self, routed: RoutedRequest, choice: Choice, permit: Permit | None
+    ) -> None:
         attempt = ServerAttempt(
             self._tools.attempt_tools,
             routed,
@@ -327,14 +332,17 @@
             and self._tools.attempt_tools.reports.allows_retry(self._service)
         )
 
-    async def _start_hedge(self, routed: RoutedRequest) -> None:
+    def _start_hedge(self, routed: RoutedRequest) -> None:
+        """Start a second attempt if a server is free that needs no permit."""
         choice = self._tools.placement.choose(
             self._criteria(routed, may_be_trial=False)
         )
         if choice is None or choice.reason is not ChoiceReason.BEST:
             return
+        if choice.server.limit is not None:
+            return
         self._tools.attempt_tools.reports.count_retry(self._service)
-        await self._start_attempt(routed)
+        self._launch_attempt(routed, choice, None)
 
     def _criteria(
         self, routed: RoutedRequest, *, may_be_trial: bool, max_wait_ms: float = 0.0
--- a/packages/cardamomrun-gateway/tests/test_server_limits.py
+++ b/packages/cardamomrun-gateway/tests/test_server_limits.py
@@ -12,6 +12,7 @@
     NAMES,
     FakeFleet,
     gateway,
+    member,
     not_run,
     response,
     server_body,
@@ -128,3 +129,23 @@
             assert delays_s[-1] - delays_s[0] == pytest.approx(2 / 1.5, abs=took_s)
 
     asyncio.run(check())
+
+
+def test_an_attempt_in_flight_goes_on_if_a_second_one_gets_no_permit():
+    async def check():
+        released = asyncio.Event()
+        slow = ScriptedServer([Step(response(), response_released=released)])
+        async with gateway(slow, ScriptedServer([Step(response())])) as running:
+            running.fleet.listed = [member("e1")]
+            limited = running.load.get("b2")
+            now_ms = running.clock.now_ms()
+            running.limits.record_response(limited, 0.1, now_ms, is_success=True)
+            assert limited.limit.is_granted_here
+            limited.limit.free_at_ms[True] = now_ms + 300
+            call = asyncio.create_task(running.call("GET", "/a/x"))
+            # The attempt is overdue at 0.9 s.
+            await asyncio.sleep(1.1)
+            released.set()
+            assert (await call).status == 200
+
+    asyncio.run(check())
