--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/fleet_load.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/fleet_load.py
@@ -123,13 +123,16 @@
 
 
 class FleetLoad:
-    """The backend servers of all routed services, with their load and health."""
+    """The backend servers of all routed services, with their load and health.
+
+    `own_key` identifies this instance in messages.
+    """
 
     def __init__(
         self, clock: Clock, store: RecordStore, instance_id: InstanceId = ""
     ) -> None:
         self._clock = clock
-        self._own_key = instance_key(instance_id)
+        self.own_key = instance_key(instance_id)
         self._by_id: dict[ServerId, Server] = {}
         self._by_key: dict[int, Server] = {}
         self._by_service: dict[str, dict[ServerId, Server]] = {}
@@ -296,7 +299,7 @@
                 self._last_seen_ms[key] = now_ms
                 self._drop_replaced_relay(key, load.relay_key, now_ms)
                 self._relay_by_instance[key] = load.relay_key
-            if key == self._own_key:
+            if key == self.own_key:
                 relay.own_sequence = sequence
 
     def _drop_replaced_relay(
@@ -340,7 +343,7 @@
             # Own ends were recorded when they came.
             if (
                 server is not None
-                and domain_end.instance_tag != self._own_key & TAG_MASK
+                and domain_end.instance_tag != self.own_key & TAG_MASK
             ):
                 ended_ms = now_ms - ended.age_ms
                 started_ms = ended_ms - ended.duration_ms
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/permits.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/permits.py
@@ -1,7 +1,7 @@
 """Permits for attempts at backend servers that state a limit, asked of their granters.
 
-A permit that is not granted in time is no permit: the datagrams may be lost, the granter
-may have stopped, and what it granted for an earlier time than now counts as used.
+Question and answer are a datagram each, and either may be lost. Without an answer in
+time the request has no permit, and a permit that the granter sent counts as used.
 """
 
 import asyncio
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/placement.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/placement.py
@@ -10,6 +10,7 @@
 from cardamomrun_base.model import ServerId
 from cardamomrun_gateway.fleet_load import FleetLoad, Server
 from cardamomrun_gateway.server_health import TRIAL_FIRST_MS
+from cardamomrun_gateway.table import GOLDEN_RATIO
 
 __all__ = ["Choice", "ChoiceReason", "Placement", "PlacementCriteria"]
 
@@ -145,7 +146,7 @@
         free = [server for server in trusted if not server.is_full]
         unlimited = [s for s in free if s.limit is None or s.limit.is_granted_here]
         if unlimited:
-            accepting = [s for s in unlimited if not s.health.is_shedding(now_ms)]
+            accepting = [s for s in unlimited if not self._is_shedding(s, now_ms)]
             return Choice(
                 self._cheapest(accepting or unlimited, criteria, now_ms),
                 ChoiceReason.BEST,
@@ -173,6 +174,10 @@
             )
         return None
 
+    def _is_shedding(self, server: Server, now_ms: float) -> bool:
+        spread_ratio = ((self._load.own_key ^ server.key) * GOLDEN_RATIO) % 1.0
+        return server.health.is_shedding(now_ms, spread_ratio)
+
     def _unused_server(self, trusted: list[Server], now_ms: float) -> Server | None:
         """Return a server of the own domain that no instance has used yet, if any.
 
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_health.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_health.py
@@ -107,9 +107,13 @@
         """Record that the server accepted an attempt begun at `started_ms`."""
         self.last_accepted_ms = max(self.last_accepted_ms, started_ms)
 
-    def is_shedding(self, now_ms: float) -> bool:
-        """Return True for a while after the server refused a request as too busy."""
-        return now_ms < self.shed_until_ms
+    def is_shedding(self, now_ms: float, spread_ratio: float = 0.0) -> bool:
+        """Return True for a while after the server refused a request as too busy.
+
+        `spread_ratio` makes it longer by this share, so that instances do not all
+        return to the server at the same moment.
+        """
+        return now_ms < self.shed_until_ms + spread_ratio * self.shed_pause_ms
 
     def suspected_for_ms(self, now_ms: float) -> float:
         """Return for how long the server has been suspected; 0 if it is not."""
@@ -128,7 +132,8 @@
             # Sent before the first refusal was known, or since no other was free.
             self.shed_until_ms = max(self.shed_until_ms, ended_ms + self.shed_pause_ms)
             return
-        is_again = started_ms - self.shed_until_ms < self.shed_pause_ms
+        # Instances return to the server during one more pause.
+        is_again = started_ms - self.shed_until_ms < 2 * self.shed_pause_ms
         pause_ms = self.shed_pause_ms * SHED_GROWTH_FACTOR if is_again else 0.0
         self.shed_pause_ms = min(SHED_MAX_MS, max(SHED_FIRST_MS, pause_ms))
         self.shed_until_ms = ended_ms + self.shed_pause_ms
