--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/permits.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/permits.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import itertools
+import math
 from dataclasses import dataclass
 
 import cbor2
@@ -100,7 +101,7 @@
         number = next(self._numbers)
         answer = asyncio.get_running_loop().create_future()
         self._pending[number] = answer
-        fields = [number, server.key, limit.per_s, max_wait_ms, is_urgent]
+        fields = [number, server.key, max_wait_ms, is_urgent]
         address = address_of(limit.granter.peer_address)
         self._reports.send(ASK + cbor2.dumps(fields), address)
         try:
@@ -117,7 +118,7 @@
             del self._pending[number]
 
     def _on_ask(self, body: bytes, sender: Address) -> None:
-        number, key, per_s, max_wait_ms, is_urgent = _decode(body, 5)
+        number, key, max_wait_ms, is_urgent = _decode(body, 4)
         self._limits.refresh()
         server = self._load.by_key(int(key))
         limit = None if server is None else server.limit
@@ -126,7 +127,7 @@
             result: Granted | Denied = Denied(NO_ANSWER_PAUSE_MS)
         else:
             result = limit.bucket.take(
-                min(limit.per_s, float(per_s)),
+                limit.per_s,
                 self._clock.now_ms(),
                 float(max_wait_ms),
                 is_urgent=bool(is_urgent),
@@ -152,7 +153,9 @@
     if (
         not isinstance(fields, list)
         or len(fields) != field_count
-        or not all(isinstance(value, (int, float)) for value in fields)
+        or not all(
+            isinstance(value, (int, float)) and math.isfinite(value) for value in fields
+        )
     ):
         raise ValueError("not a message about permits")
     return fields
--- a/packages/cardamomrun-gateway/tests/test_permits.py
+++ b/packages/cardamomrun-gateway/tests/test_permits.py
@@ -197,7 +197,15 @@
 
 
 @pytest.mark.parametrize(
-    "data", [b"", b"\xff", b"\x80", b"\x85\x01\x02\x03\x04\x61x", b"\x83\xf6\xf5\x01"]
+    "data",
+    [
+        b"",
+        b"\xff",
+        b"\x80",
+        b"\x84\x01\x02\x03\x61x",
+        b"\x84\x01\xf9\x7c\x00\x01\xf5",
+        b"\x83\xf6\xf5\x01",
+    ],
 )
 def test_malformed_datagrams_are_dropped(data):
     fleet = Fleet()
