--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -14,6 +14,9 @@
     "a departure is published late when its leader dies just after the answer": SoakOptions(
         seed=101
     ),
+    "SIGHUP ends a process that has not installed its handler yet": SoakOptions(
+        seed=323
+    ),
 }
 
 
