--- a/demo/drive.py
+++ b/demo/drive.py
@@ -14,6 +14,8 @@
 
 ENTRY_ADMIN = {"entry-1": "127.20.0.11:18081", "entry-2": "127.20.0.12:18081"}
 CONTROL_ADMIN = "127.20.0.1:18081"
+# An accepted document is in force everywhere within this time.
+IN_FORCE_LIMIT_S = 4.0
 FRONT_OF_ENTRY_1 = "127.20.0.11:18080"
 FRONT_OF_ENTRY_2 = "127.20.0.12:18080"
 HOST = "rota-desk.example"
@@ -57,7 +59,16 @@
             "the document was checked and put in force in the trial environment"
         )
         await self._run_operator_command("promote", "rota-desk")
-        self.print_step("exactly its bytes were promoted to production")
+        promoted_s = time.monotonic()
+        for address in (FRONT_OF_ENTRY_1, FRONT_OF_ENTRY_2):
+            await _wait_for(lambda a=address: _knows_host(a))
+        elapsed_s = time.monotonic() - promoted_s
+        if elapsed_s > IN_FORCE_LIMIT_S:
+            raise SystemExit(f"the document is in force after {elapsed_s:.1f} s only")
+        self.print_step(
+            f"exactly its bytes were promoted to production; {elapsed_s:.1f} s later "
+            "they were in force at both entry instances"
+        )
 
     async def _serve_request(self) -> None:
         await _wait_for(lambda: _has_healthy_servers(2))
@@ -148,6 +159,10 @@
     return addresses if len(addresses) == count else None
 
 
+async def _knows_host(address: str) -> bool:
+    return (await _request(address, "GET", "/rota")).status != 404
+
+
 async def _try_confirmation(headers: dict[str, str]) -> CallResponse | None:
     answer = await _request(FRONT_OF_ENTRY_1, "POST", "/confirmations", headers)
     return answer if answer.status == 200 else None
