--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/crash_guard.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/crash_guard.py
@@ -1,9 +1,12 @@
 """Blocks requests that crash the backend servers which run them."""
 
+from enum import StrEnum
+
 from cardamomrun_base.clock import Clock
 from cardamomrun_base.interfaces import Fleet
 from cardamomrun_base.logs import ComponentLog
 from cardamomrun_base.model import CrashBody, Record, RecordKind
+from cardamomrun_gateway import metrics
 from cardamomrun_gateway.fleet_load import Server
 from cardamomrun_requests.upstream import (
     ConnectError,
@@ -24,6 +27,14 @@
 _log = ComponentLog("crashes")
 
 
+class Finding(StrEnum):
+    """What a new connection to a backend server shows."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    UNREACHABLE = "unreachable"
+
+
 class CrashGuard:
     """Counts server crashes by the fingerprint of the request that the server ran.
 
@@ -50,17 +61,25 @@
             del self._crashes[fingerprint]
         return len(recent) >= CRASHES_TO_BLOCK
 
-    async def check_crash(self, server: Server, fingerprint: str) -> None:
-        """Publish a crash record if the server now refuses connections."""
-        try:
-            stream = await open_stream(server.body.address, CONFIRM_TIMEOUT_MS)
-        except ConnectRefusedError:
+    async def check_crash(
+        self, server: Server, fingerprint: str, client: str = ""
+    ) -> None:
+        """Publish a crash record if the server now refuses connections.
+
+        `client` is the address of the request's client, for the log.
+        """
+        finding = await _connect(server)
+        metrics.CRASH_CHECKS.labels(server.body.service, finding).inc()
+        _log.info(
+            f"checked a backend server that gave no response: {finding}",
+            server_id=server.body.server_id,
+            incarnation=server.body.incarnation,
+            fingerprint=fingerprint,
+            client=client,
+        )
+        # An unreachable server may be alive; only a refusal shows that it ended.
+        if finding is Finding.REFUSED:
             self._publish(server, fingerprint)
-        except ConnectError:
-            # An unreachable server may be alive; only a refusal shows that it ended.
-            return
-        else:
-            stream.close()
 
     def _publish(self, server: Server, fingerprint: str) -> None:
         body = server.body
@@ -90,3 +109,14 @@
         crashes = self._crashes.setdefault(body.fingerprint, {})
         server_key = f"{body.server_id}/{body.server_incarnation}"
         crashes.setdefault(server_key, self._clock.now_ms())
+
+
+async def _connect(server: Server) -> Finding:
+    try:
+        stream = await open_stream(server.body.address, CONFIRM_TIMEOUT_MS)
+    except ConnectRefusedError:
+        return Finding.REFUSED
+    except ConnectError:
+        return Finding.UNREACHABLE
+    stream.close()
+    return Finding.ACCEPTED
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/dispatch.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/dispatch.py
@@ -241,7 +241,9 @@
             if result.has_no_response:
                 guard = self._tools.crash_guard
                 self._tools.background.spawn(
-                    guard.check_crash(attempt.server, self._fingerprint)
+                    guard.check_crash(
+                        attempt.server, self._fingerprint, self._request.remote_ip
+                    )
                 )
         elif not attempt.may_have_run:
             self._not_run_count += 1
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/metrics.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/metrics.py
@@ -6,6 +6,7 @@
     "ADDED_SECONDS",
     "ATTEMPTS",
     "CONNECTIONS",
+    "CRASH_CHECKS",
     "LIMITED_ATTEMPTS",
     "PERMITS",
     "REFUSALS",
@@ -43,6 +44,11 @@
     "Connections opened to backend servers.",
     ("service",),
 )
+CRASH_CHECKS = Counter(
+    "cardamomrun_routed_crash_checks",
+    "Checks of backend servers that gave no response, by what they showed.",
+    ("service", "finding"),
+)
 LIMITED_ATTEMPTS = Counter(
     "cardamomrun_routed_limited_attempts",
     "Attempts at backend servers that state a limit for all instances together.",
