Count each way in which a server ends under a request

Callers saw servers of a service end one after the other: a request under which three had ended was sent to more of them.

Cause: a crash counted only if one new connection, tried once and at once, was refused, and only for the same service and client address. A route with two services, or a client with several addresses, counted from zero for each. The class of fault: evidence that has one expected form, where the absence of that form was taken for the absence of the event.

Change: the end of a server is concluded from what the fleet knows of it. An attempt without a complete response, at its deadline too, has its server checked, again after a second if it cannot be reached; a server that nobody gets responses from counts as ended, and so does one that announces a new incarnation without having left. The request is recognised by its content. Two crashes under one client's requests block it for the service, three block it whatever client and service, unless other servers crashed under other requests then. The block is looked up before each further attempt too.

A crash is dropped once an attempt begun later got a response from the same incarnation.

The rule's bound is three further servers from 3 s after the third; the tests allow none.

--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/dispatch.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/dispatch.py
@@ -12,7 +12,7 @@
 from cardamomrun_base.outcomes import NotRun, Outcome, Unknown
 from cardamomrun_base.routing_document import RoutingRoute
 from cardamomrun_gateway import metrics
-from cardamomrun_gateway.crash_guard import CrashGuard
+from cardamomrun_gateway.crash_guard import CrashGuard, RequestIdentity
 from cardamomrun_gateway.fleet_load import FleetLoad
 from cardamomrun_gateway.permits import Permit, Permits
 from cardamomrun_gateway.placement import (
@@ -102,7 +102,7 @@
         self._not_run_count = 0
         self._may_have_run = False
         self._last_failure: NotExecuted | ResponseLost | None = None
-        self._fingerprint = ""
+        self._identity: RequestIdentity | None = None
 
     async def run(self) -> None:
         """Run the request; a cancellation means that the client disconnected."""
@@ -110,6 +110,7 @@
         try:
             await self._run(arrived_ms)
         except (asyncio.CancelledError, StreamClosedError, IncompleteBodyError):
+            self._watch_servers()
             _log.info("the client disconnected", request_id=self._request.request_id)
             self._reply.abort()
         except Exception as error:
@@ -133,6 +134,7 @@
         except _RequestFailedError as failure:
             await self._send_error(failure)
         except TimeoutError:
+            self._check_silent_servers()
             await self._send_error(self._timeout_error())
         except BodyTooLargeError:
             outcome = NotRun(
@@ -166,9 +168,8 @@
         )
 
     def _check_crashes(self) -> None:
-        request = self._request
-        self._fingerprint = request.fingerprint(self._service, request.remote_ip)
-        if self._tools.crash_guard.is_blocked(self._fingerprint):
+        self._identity = RequestIdentity.of(self._request)
+        if self._is_blocked():
             metrics.REFUSALS.labels(self._service, "crashes").inc()
             raise _refusal(
                 "crashes",
@@ -176,6 +177,36 @@
                 RETRY_AFTER_CRASHES_S,
             )
 
+    def _is_blocked(self) -> bool:
+        guard = self._tools.crash_guard
+        return self._identity is not None and guard.is_blocked(
+            self._identity, self._service
+        )
+
+    def _check_server(self, attempt: ServerAttempt) -> None:
+        """Find out in the background whether a server crashed."""
+        if self._identity is not None:
+            check = self._tools.crash_guard.check_crash(
+                attempt.server, self._identity, self._request.remote_ip
+            )
+            self._tools.background.spawn(check)
+
+    def _check_silent_servers(self) -> None:
+        """Check the servers that ran the request until its deadline.
+
+        One that responded to a later attempt is merely slow.
+        """
+        for attempt in self._running.values():
+            last_responded_ms = attempt.server.health.last_responded_ms
+            if attempt.may_have_run and last_responded_ms < attempt.started_ms:
+                self._check_server(attempt)
+
+    def _watch_servers(self) -> None:
+        """Have servers that did not finish the request watched for a crash."""
+        for attempt in self._running.values():
+            if attempt.may_have_run and self._identity is not None:
+                self._tools.crash_guard.watch(attempt.server, self._identity)
+
     def _time_limit_ms(self, route: RoutingRoute) -> float:
         requested = self._request.headers.get(
             self._tools.attempt_tools.header_names.deadline_ms, ""
@@ -238,13 +269,8 @@
         self._last_failure = result
         if isinstance(result, ResponseLost):
             self._may_have_run = True
-            if result.has_no_response:
-                guard = self._tools.crash_guard
-                self._tools.background.spawn(
-                    guard.check_crash(
-                        attempt.server, self._fingerprint, self._request.remote_ip
-                    )
-                )
+            if result.has_connection_ended:
+                self._check_server(attempt)
         elif not attempt.may_have_run:
             self._not_run_count += 1
 
@@ -304,6 +330,8 @@
             return False
         if self._not_run_count >= NOT_RUN_LIMIT or not self._is_resendable():
             return False
+        if self._is_blocked():
+            return False
         return self._tools.attempt_tools.reports.allows_retry(self._service)
 
     def _last_response(
@@ -331,6 +359,7 @@
             len(self._running) == 1
             and all(attempt.is_overdue for attempt in self._running.values())
             and self._may_retry(routed)
+            and not self._is_blocked()
             and self._tools.attempt_tools.reports.allows_retry(self._service)
         )
 
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/front.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/front.py
@@ -108,3 +108,4 @@
         while True:
             await self._clock.sleep_ms(SWEEP_MS)
             self._connections.sweep()
+            self._tools.crash_guard.sweep()
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_attempt.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_attempt.py
@@ -86,13 +86,13 @@
 class ResponseLost:
     """The server may have run the request, but there is no successful response.
 
-    `response` is the error response of the server, if there is one. `has_no_response`
-    is True if the connection ended before any response.
+    `response` is the error response of the server, if there is one.
+    `has_connection_ended` is True if the connection ended before a complete response.
     """
 
     reason: str
     response: ServerResponse | None = None
-    has_no_response: bool = False
+    has_connection_ended: bool = False
 
 
 Result = ServerResponse | NotExecuted | ResponseLost
@@ -238,7 +238,7 @@
         is_early = took_ms <= RESET_MS and connection.idle_ms <= NON_IDEMPOTENT_IDLE_MS
         self._outcome.end = AttemptEnd.RESET if is_early else AttemptEnd.BROKEN_OFF
         return ResponseLost(
-            "the connection ended before a response", has_no_response=True
+            "the connection ended before a response", has_connection_ended=True
         )
 
     async def _receive_response(
@@ -266,7 +266,7 @@
             body_start, body_rest = await self._buffer_body(answer, start_line)
         except IncompleteBodyError:
             self._outcome.end = AttemptEnd.BROKEN_OFF
-            return ResponseLost("the response broke off")
+            return ResponseLost("the response broke off", has_connection_ended=True)
         return self._classify_response(
             ServerResponse(start_line, headers, body_start, body_rest)
         )
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_health.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_health.py
@@ -59,13 +59,16 @@
     AttemptEnd.REFUSED: 2.0,
     AttemptEnd.UNREACHABLE: 0.5,
 }
+# Ends that show that the server's process runs.
+RESPONSE_ENDS = frozenset((AttemptEnd.GOOD, AttemptEnd.ERROR, AttemptEnd.SHED))
 
 
 @dataclass
 class ServerHealth:
     """Health of one incarnation of a server; times are of the local clock, in ms.
 
-    `last_accepted_ms` is the latest time at which it is known to accept requests.
+    `last_accepted_ms` is the latest time at which it is known to accept requests,
+    `last_responded_ms` the start of the latest attempt that got a response.
     """
 
     failure_weight: float = 0.0
@@ -74,6 +77,7 @@
     trial_pause_ms: float = TRIAL_FIRST_MS
     good_streak: int = 0
     last_accepted_ms: float = float("-inf")
+    last_responded_ms: float = float("-inf")
     recent_good: float = 0.0
     recent_failed: float = 0.0
     recent_ms: float = 0.0
@@ -92,6 +96,8 @@
 
     def record_end(self, end: AttemptEnd, started_ms: float, ended_ms: float) -> bool:
         """Record how an attempt ended; return True if suspicion began or ended."""
+        if end in RESPONSE_ENDS:
+            self.last_responded_ms = max(self.last_responded_ms, started_ms)
         if end is AttemptEnd.SHED:
             self._record_shed(started_ms, ended_ms)
         weight = FAILURE_WEIGHTS.get(end)
--- a/packages/cardamomrun-gateway/tests/builders.py
+++ b/packages/cardamomrun-gateway/tests/builders.py
@@ -272,7 +272,7 @@
                 self.load,
                 placement,
                 Permits(self.clock, self.load, self.limits, self.reports),
-                CrashGuard(self.clock, self.fleet),
+                CrashGuard(self.clock, self.fleet, self.load),
                 BackgroundTasks(),
             ),
             connections,
--- a/packages/cardamomrun-gateway/tests/test_crash_guard.py
+++ b/packages/cardamomrun-gateway/tests/test_crash_guard.py
@@ -5,12 +5,18 @@
 
 import pytest
 
+from cardamomrun_base.model import BackendPhase, CrashBody, Record, RecordKind
 from cardamomrun_base.routing_document import RouteKind, ServiceWeight
 from cardamomrun_bench.scripted_server import parse_response
+from cardamomrun_gateway.crash_guard import CrashGuard, RequestIdentity
+from cardamomrun_gateway.fleet_load import FleetLoad
+from cardamomrun_gateway.server_health import AttemptEnd
 
 from .builders import (
     NAMES,
     SERVICE,
+    FakeFleet,
+    OffsetClock,
     document,
     gateway,
     request,
@@ -30,6 +36,7 @@
 # The rule of the users' platform counts requests from this long after the third end.
 WINDOW_S = 3.0
 DEADLINE_MS = 300
+FIRST = RequestIdentity("first", "client")
 CLIENTS = ("127.0.0.1", "127.0.0.2", "127.0.0.3")
 
 # How the servers end, the request's path, and the clients that send it in turn.
@@ -96,3 +103,85 @@
             assert ended_count(servers) == reached_count
 
     asyncio.run(main())
+
+
+class Guarded:
+    """A crash guard and what it sees of the servers `b1` to `b8`."""
+
+    def __init__(self):
+        self.clock = OffsetClock()
+        self.fleet = FakeFleet("e1")
+        self.store = self.fleet.store
+        for number in range(1, 9):
+            self.store.put(server_record(server_body(f"b{number}")))
+        self.load = FleetLoad(self.clock, self.store, "e1")
+        self.guard = CrashGuard(self.clock, self.fleet, self.load)
+
+    def crash(self, server_id, identity):
+        """Merge a crash record of another instance."""
+        crash = CrashBody(SERVICE, identity.fingerprint, server_id, 1, "e2")
+        key = f"{identity.fingerprint}/{server_id}/1"
+        self.store.put(
+            Record.from_content(RecordKind.CRASH, key, "e2", (0, 0), crash, 600_000)
+        )
+
+    def is_blocked(self, identity=FIRST):
+        self.guard.sweep()
+        return self.guard.is_blocked(identity, SERVICE)
+
+    def respond(self, server_id, after_ms):
+        """Record a response to an attempt begun so long from now."""
+        now_ms = self.clock.now_ms()
+        health = self.load.get(server_id).health
+        health.record_end(AttemptEnd.GOOD, now_ms + after_ms, now_ms + after_ms + 100)
+
+
+def test_a_server_that_goes_on_responding_does_not_count_as_crashed():
+    """Guards against innocent requests blocked by instances that lost their paths."""
+    guarded = Guarded()
+    guarded.crash("b1", FIRST)
+    guarded.crash("b2", FIRST)
+    assert guarded.is_blocked()
+    guarded.respond("b1", after_ms=-100)
+    assert guarded.is_blocked()
+    guarded.respond("b1", after_ms=500)
+    assert not guarded.is_blocked()
+    # It stays so once the server has left.
+    guarded.store.put(
+        server_record(server_body("b1", phase=BackendPhase.GONE), counter=4)
+    )
+    assert not guarded.is_blocked()
+
+
+def test_a_server_that_leaves_as_announced_does_not_count_as_crashed():
+    """Guards against crashes counted for servers that are replaced as planned."""
+    guarded = Guarded()
+    for number in (1, 2):
+        name = f"b{number}"
+        guarded.guard.watch(guarded.load.get(name), FIRST)
+        leaving = server_body(name, phase=BackendPhase.DRAINING)
+        guarded.store.put(server_record(leaving, counter=4))
+        address = leaving.address
+        successor = server_body(f"c{number}", incarnation=9, address=address)
+        guarded.store.put(server_record(successor))
+    assert not guarded.is_blocked()
+
+
+@pytest.mark.parametrize("count", [2, 3])
+def test_crashes_of_one_request_count_whatever_else_crashes(count):
+    """Guards against two requests that crash servers in turn and excuse each other."""
+    guarded = Guarded()
+    for number in range(1, count + 1):
+        guarded.crash(f"b{number}", RequestIdentity("first", f"client-{number}"))
+        guarded.crash(f"b{number + 4}", RequestIdentity("second", "client"))
+    assert guarded.is_blocked(RequestIdentity("first", "client-9")) == (count == 3)
+    assert guarded.is_blocked(RequestIdentity("second", "client"))
+
+
+def test_a_mass_restart_does_not_block_a_request_of_many_clients():
+    """Guards against a popular request blocked because it ran on failing servers."""
+    guarded = Guarded()
+    for number in range(1, 4):
+        guarded.crash(f"b{number}", RequestIdentity("popular", f"client-{number}"))
+        guarded.crash(f"b{number + 4}", RequestIdentity(f"other-{number}", "client"))
+    assert not guarded.is_blocked(RequestIdentity("popular", "client-9"))
--- a/packages/cardamomrun-node/src/cardamomrun_node/gateway_node.py
+++ b/packages/cardamomrun-node/src/cardamomrun_node/gateway_node.py
@@ -136,7 +136,7 @@
         placement = Placement(
             clock, load, settings.failure_domain, self._gateway.floor_ratio
         )
-        crash_guard = CrashGuard(clock, self.fleet)
+        crash_guard = CrashGuard(clock, self.fleet, load)
         tools = DispatchDependencies(
             attempt_tools,
             self.table,
