Check silent servers when the client leaves before the deadline does

Such an attempt was only watched for the next incarnation. It is checked now, like one that ends at the deadline, unless a later attempt got a response from the server.

The case 'silently, and the client leaves' fails without the change and passes with it.

--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/dispatch.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/dispatch.py
@@ -110,7 +110,7 @@
         try:
             await self._run(arrived_ms)
         except (asyncio.CancelledError, StreamClosedError, IncompleteBodyError):
-            self._watch_servers()
+            self._check_unfinished()
             _log.info("the client disconnected", request_id=self._request.request_id)
             self._reply.abort()
         except Exception as error:
@@ -134,7 +134,7 @@
         except _RequestFailedError as failure:
             await self._send_error(failure)
         except TimeoutError:
-            self._check_silent_servers()
+            self._check_unfinished()
             await self._send_error(self._timeout_error())
         except BodyTooLargeError:
             outcome = NotRun(
@@ -191,20 +191,15 @@
             )
             self._tools.background.spawn(check)
 
-    def _check_silent_servers(self) -> None:
-        """Check the servers that ran the request until its deadline.
-
-        One that responded to a later attempt is merely slow.
-        """
+    def _check_unfinished(self) -> None:
+        """Check the servers that had the request when it ended without a response."""
         for attempt in self._running.values():
-            last_responded_ms = attempt.server.health.last_responded_ms
-            if attempt.may_have_run and last_responded_ms < attempt.started_ms:
+            if not attempt.may_have_run or self._identity is None:
+                continue
+            if attempt.server.health.last_responded_ms < attempt.started_ms:
                 self._check_server(attempt)
-
-    def _watch_servers(self) -> None:
-        """Have servers that did not finish the request watched for a crash."""
-        for attempt in self._running.values():
-            if attempt.may_have_run and self._identity is not None:
+            else:
+                # It responded to a later attempt, so it had not crashed by then.
                 self._tools.crash_guard.watch(attempt.server, self._identity)
 
     def _time_limit_ms(self, route: RoutingRoute) -> float:
--- a/packages/cardamomrun-gateway/tests/test_crash_guard.py
+++ b/packages/cardamomrun-gateway/tests/test_crash_guard.py
@@ -36,29 +36,41 @@
 # The rule of the users' platform counts requests from this long after the third end.
 WINDOW_S = 3.0
 DEADLINE_MS = 300
+# What a client that waits for its response never reaches, and one that leaves.
+PATIENCE_S, IMPATIENCE_S = 5.0, 0.1
 FIRST = RequestIdentity("first", "client")
 CLIENTS = ("127.0.0.1", "127.0.0.2", "127.0.0.3")
 
-# How the servers end, the request's path, and the clients that send it in turn.
+# How the servers end, the request's path, the clients that send it in turn, and how long
+# they wait.
 ENDS = {
-    "a new connection is refused": (EndingServer, "/b/x", CLIENTS[:1]),
-    "in the middle of the response": (EndsAfterHead, "/b/x", CLIENTS[:1]),
-    "and the next boot listens at once": (EndsAndIsBack, "/b/x", CLIENTS[:1]),
-    "and the machine is silent": (FallsSilent, "/b/x", CLIENTS[:1]),
-    "of two services of a split": (EndingServer, "/split/x", CLIENTS[:1]),
-    "with a client of several addresses": (EndingServer, "/b/x", CLIENTS),
+    "a new connection is refused": (EndingServer, "/b/x", CLIENTS[:1], PATIENCE_S),
+    "in the middle of the response": (EndsAfterHead, "/b/x", CLIENTS[:1], PATIENCE_S),
+    "and the next boot listens at once": (
+        EndsAndIsBack,
+        "/b/x",
+        CLIENTS[:1],
+        PATIENCE_S,
+    ),
+    "and the machine is silent": (FallsSilent, "/b/x", CLIENTS[:1], PATIENCE_S),
+    "silently, and the client leaves": (FallsSilent, "/b/x", CLIENTS[:1], IMPATIENCE_S),
+    "of two services of a split": (EndingServer, "/split/x", CLIENTS[:1], PATIENCE_S),
+    "with a client of several addresses": (EndingServer, "/b/x", CLIENTS, PATIENCE_S),
 }
 
 
-async def send(running, path, client="127.0.0.1", body=b"ends servers"):
-    """Send a request from a client's address and return the response."""
+async def send(running, path, client, patience_s=PATIENCE_S):
+    """Send a request from a client's address; return the response if it waits for it."""
     reader, writer = await asyncio.open_connection(
         "127.0.0.1", running.settings.front_port, local_addr=(client, 0)
     )
     deadline = {NAMES.deadline_ms: str(DEADLINE_MS)}
-    writer.write(request("POST", path, body, **deadline))
+    writer.write(request("POST", path, b"ends servers", **deadline))
     try:
-        return parse_response(await reader.read())
+        async with asyncio.timeout(patience_s):
+            return parse_response(await reader.read())
+    except TimeoutError:
+        return None
     finally:
         writer.close()
 
@@ -76,7 +88,7 @@
 @pytest.mark.parametrize("end", ENDS)
 def test_a_request_that_ended_three_servers_reaches_no_more(end):
     """Guards against ends of servers that are not counted for the request they ran."""
-    server_class, path, clients = ENDS[end]
+    server_class, path, clients, patience_s = ENDS[end]
 
     async def main():
         servers = [server_class() for _ in range(8)]
@@ -88,7 +100,8 @@
                     server_record(replace(body, service=OTHER_SERVICE), counter=4)
                 )
             for number in range(3):
-                await send(running, path, clients[number % len(clients)])
+                client = clients[number % len(clients)]
+                await send(running, path, client, patience_s)
             reached_count = ended_count(servers)
             assert reached_count >= 2
             await until(lambda: sum(s.ended.is_set() for s in servers) == reached_count)
