--- a/packages/cardamomrun-gateway/tests/builders.py
+++ b/packages/cardamomrun-gateway/tests/builders.py
@@ -242,13 +242,13 @@
 class Gateway:
     """A gateway front and its parts, on loopback addresses."""
 
-    def __init__(self, content, bodies):
-        self.settings = gateway_settings(front_port=free_port())
+    def __init__(self, content, bodies, name="e1"):
+        self.settings = gateway_settings(name, front_port=free_port())
         self.clock = OffsetClock()
-        self.fleet = FakeFleet("e1")
+        self.fleet = FakeFleet(name)
         self.store = self.fleet.store
         self.table = RoutingTable(self.store)
-        self.load = FleetLoad(self.clock, self.store, "e1")
+        self.load = FleetLoad(self.clock, self.store, name)
         settings = self.settings.gateway
         self.budget = RetryBudget(settings, self.clock)
         self.reports = LoadReports(
