Do not charge servers with connections of an instance that reaches none

Cause: a failed connection shows a failed server or a lost path, and it was always taken for the first. The next attempt of the same instance goes to another server at once and tells the two apart: if it fails too, with no response in between, neither failure counts against a server any more, and a suspicion that rests on them alone ends. Failures told by other instances for the same server stand.

Ruled out: to ignore failed connections that others report, since then each instance would pay 200 ms to find each silent server.

The line about a suspicion names the instance.

--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/fleet_load.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/fleet_load.py
@@ -24,8 +24,14 @@
     ServerId,
 )
 from cardamomrun_gateway.load_model import DomainLoad, ReportedState, instance_key
+from cardamomrun_gateway.paths import ConnectFailures, OwnPaths
 from cardamomrun_gateway.rate_limit import StatedLimit
-from cardamomrun_gateway.server_health import AttemptEnd, ServerHealth
+from cardamomrun_gateway.server_health import (
+    CONNECT_FAILURES,
+    RESPONSE_ENDS,
+    AttemptEnd,
+    ServerHealth,
+)
 
 __all__ = ["FleetLoad", "Server"]
 
@@ -129,9 +135,15 @@
     """
 
     def __init__(
-        self, clock: Clock, store: RecordStore, instance_id: InstanceId = ""
+        self,
+        clock: Clock,
+        store: RecordStore,
+        instance_id: InstanceId = "",
+        paths: OwnPaths | None = None,
     ) -> None:
         self._clock = clock
+        self._paths = paths or OwnPaths(clock)
+        self._connect_failures: dict[int, ConnectFailures] = {}
         self.own_key = instance_key(instance_id)
         self._by_id: dict[ServerId, Server] = {}
         self._by_key: dict[int, Server] = {}
@@ -214,7 +226,12 @@
         now_ms = self._clock.now_ms()
         server.own_count -= 1
         self._notify()
-        has_changed = self._record_end(server, end, started_ms, now_ms, "own")
+        own_tag = self.own_key & TAG_MASK
+        has_changed = self._record_end(server, end, started_ms, now_ms, own_tag)
+        if end in CONNECT_FAILURES:
+            self._paths.record_failure(server.key, len(self._by_id))
+        elif end in RESPONSE_ENDS:
+            self._paths.record_response(started_ms)
         if end is AttemptEnd.GOOD:
             server.block_ms = PATH_BLOCK_FIRST_MS
         elif end is AttemptEnd.UNREACHABLE:
@@ -230,7 +247,17 @@
         if server.is_full:
             return
         now_ms = self._clock.now_ms()
-        self._record_end(server, AttemptEnd.OVERDUE, started_ms, now_ms, "own")
+        own_tag = self.own_key & TAG_MASK
+        self._record_end(server, AttemptEnd.OVERDUE, started_ms, now_ms, own_tag)
+
+    async def check_paths(self) -> None:
+        """Use servers again once connections to them work, after all had failed."""
+        addresses = [server.body.address for server in self._by_id.values()]
+        if await self._paths.check(addresses):
+            for server in self._by_id.values():
+                server.blocked_until_ms = float("-inf")
+                server.block_ms = PATH_BLOCK_FIRST_MS
+            self._notify()
 
     async def wait_changed(self, timeout_ms: float) -> None:
         """Return once the load or health of a server changed, or after the timeout."""
@@ -347,7 +374,8 @@
             ):
                 ended_ms = now_ms - ended.age_ms
                 started_ms = ended_ms - ended.duration_ms
-                self._record_end(server, ended.end, started_ms, ended_ms, "others")
+                tag = domain_end.instance_tag
+                self._record_end(server, ended.end, started_ms, ended_ms, tag)
 
     def _record_end(
         self,
@@ -355,11 +383,13 @@
         end: AttemptEnd,
         started_ms: float,
         ended_ms: float,
-        source: str,
+        instance_tag: int,
     ) -> bool:
         if end is AttemptEnd.GOOD:
             self._record_duration(server, ended_ms - started_ms)
-        if not server.health.record_end(end, started_ms, ended_ms):
+        if self._has_lost_paths(instance_tag, server, end, started_ms, ended_ms):
+            return False
+        if not server.health.record_end(end, started_ms, ended_ms, instance_tag):
             return False
         # The logs say "doubts" for a suspected server.
         state = "doubts" if server.health.is_suspected else "trusts"
@@ -368,10 +398,47 @@
             server_id=server.body.server_id,
             service=server.body.service,
             cause=end.name.lower(),
-            told_by=source,
+            told_by="own" if instance_tag == self.own_key & TAG_MASK else "others",
+            instance_tag=instance_tag,
         )
         return True
 
+    def _has_lost_paths(
+        self,
+        instance_tag: int,
+        server: Server,
+        end: AttemptEnd,
+        started_ms: float,
+        ended_ms: float,
+    ) -> bool:
+        """Return True if a failed connection shows more about the instance.
+
+        That is so if the instance failed to reach another server just before. What that
+        one was charged with is withdrawn.
+        """
+        if end in RESPONSE_ENDS:
+            failures = self._connect_failures.get(instance_tag)
+            if failures is not None:
+                failures.add_response(started_ms)
+            return False
+        if end not in CONNECT_FAILURES:
+            return False
+        failures = self._connect_failures.setdefault(instance_tag, ConnectFailures())
+        failures.add(server.key, ended_ms)
+        if len(failures) < 2:
+            return False
+        for key in failures.server_keys:
+            charged = self._by_key.get(key)
+            if charged is None:
+                continue
+            if charged.health.retract_connect_failure(instance_tag):
+                _log.info(
+                    "trusts a backend server again: an instance can't reach any",
+                    server_id=charged.body.server_id,
+                    instance_tag=instance_tag,
+                )
+        return True
+
     def _record_duration(self, server: Server, duration_ms: float) -> None:
         server.record_duration(duration_ms)
         service = server.body.service
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/metrics.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/metrics.py
@@ -1,6 +1,6 @@
 """Metrics of requests that a routing document routes; the label values are bounded."""
 
-from prometheus_client import Counter, Histogram
+from prometheus_client import Counter, Gauge, Histogram
 
 __all__ = [
     "ADDED_SECONDS",
@@ -8,8 +8,10 @@
     "CONNECTIONS",
     "CRASH_CHECKS",
     "LIMITED_ATTEMPTS",
+    "PATHS_LOST",
     "PERMITS",
     "REFUSALS",
+    "RELAYED",
     "REQUESTS",
     "REQUEST_SECONDS",
 ]
@@ -59,3 +61,12 @@
     "Permits asked for attempts at backend servers that state a limit, by result.",
     ("service", "result"),
 )
+PATHS_LOST = Gauge(
+    "cardamomrun_routed_paths_lost",
+    "1 while this instance cannot reach backend servers, else 0.",
+)
+RELAYED = Counter(
+    "cardamomrun_routed_relayed",
+    "Requests that this instance asked another one to serve, by result.",
+    ("service", "result"),
+)
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_health.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_health.py
@@ -5,10 +5,16 @@
 next requests too, and a request that must not be retried is lost with it.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import IntEnum
 
-__all__ = ["TRIAL_FIRST_MS", "AttemptEnd", "ServerHealth"]
+__all__ = [
+    "CONNECT_FAILURES",
+    "RESPONSE_ENDS",
+    "TRIAL_FIRST_MS",
+    "AttemptEnd",
+    "ServerHealth",
+]
 
 # One error response is ordinary; two with at most one good response between are not.
 SUSPICION_WEIGHT = 1.5
@@ -59,6 +65,8 @@
     AttemptEnd.REFUSED: 2.0,
     AttemptEnd.UNREACHABLE: 0.5,
 }
+# Ends that may show a lost path of one instance only.
+CONNECT_FAILURES = frozenset((AttemptEnd.REFUSED, AttemptEnd.UNREACHABLE))
 # Ends that show that the server's process runs.
 RESPONSE_ENDS = frozenset((AttemptEnd.GOOD, AttemptEnd.ERROR, AttemptEnd.SHED))
 
@@ -69,10 +77,13 @@
 
     `last_accepted_ms` is the latest time at which it is known to accept requests,
     `last_responded_ms` the start of the latest attempt that got a response.
+    `unreached_by` are the instances whose failed connections count against it.
     """
 
     failure_weight: float = 0.0
     suspected_since_ms: float | None = None
+    is_suspected_unreachable: bool = False
+    unreached_by: set[int] = field(default_factory=set)
     trial_due_ms: float = 0.0
     trial_pause_ms: float = TRIAL_FIRST_MS
     good_streak: int = 0
@@ -94,8 +105,19 @@
         """True once an attempt counted for or against the server or was accepted."""
         return self.last_accepted_ms > float("-inf") or self.recent_ms > 0.0
 
-    def record_end(self, end: AttemptEnd, started_ms: float, ended_ms: float) -> bool:
-        """Record how an attempt ended; return True if suspicion began or ended."""
+    def record_end(
+        self,
+        end: AttemptEnd,
+        started_ms: float,
+        ended_ms: float,
+        instance_tag: int = 0,
+    ) -> bool:
+        """Record how an attempt ended; return True if suspicion began or ended.
+
+        `instance_tag` identifies the instance that made it.
+        """
+        if end in CONNECT_FAILURES:
+            self.unreached_by.add(instance_tag)
         if end in RESPONSE_ENDS:
             self.last_responded_ms = max(self.last_responded_ms, started_ms)
         if end is AttemptEnd.SHED:
@@ -107,7 +129,31 @@
         if weight is None:
             return False
         self._add_recent(0.0, 1.0, ended_ms)
-        return self._record_failure(weight, started_ms, ended_ms)
+        has_begun = self._record_failure(weight, started_ms, ended_ms)
+        if has_begun:
+            self.is_suspected_unreachable = end in CONNECT_FAILURES
+        return has_begun
+
+    def retract_connect_failure(self, instance_tag: int) -> bool:
+        """Withdraw the failed connections of an instance that lost its paths.
+
+        Returns True if that ended the suspicion.
+        """
+        if instance_tag not in self.unreached_by:
+            return False
+        self.unreached_by.discard(instance_tag)
+        if self.unreached_by:
+            return False
+        self.recent_failed = max(0.0, self.recent_failed - 1.0)
+        if self.suspected_since_ms is None:
+            self.failure_weight = 0.0
+            return False
+        if not self.is_suspected_unreachable:
+            return False
+        self.suspected_since_ms = None
+        self.trial_pause_ms = TRIAL_FIRST_MS
+        self.failure_weight = 0.0
+        return True
 
     def record_accepted(self, started_ms: float) -> None:
         """Record that the server accepted an attempt begun at `started_ms`."""
@@ -156,6 +202,7 @@
     def _record_success(self, started_ms: float, ended_ms: float) -> bool:
         self.last_accepted_ms = max(self.last_accepted_ms, ended_ms)
         self.failure_weight *= GOOD_DECAY_RATIO
+        self.unreached_by.clear()
         # An attempt begun before the suspicion is no evidence about the time after.
         if self.suspected_since_ms is None or started_ms < self.suspected_since_ms:
             return False
