Serve clients of an instance that lost its paths through another one

Cause: nothing in an instance told 'my paths are lost' from 'the servers fail', and nothing could be done with a request but try servers. Leaving the directory comes too late: clients keep addresses for 5 s and connections longer, and a refused or closed connection is a failed try for them too.

Change: three failed connections in a row to different servers, with no response between, mean that the paths are lost. The instance then has another entry instance run its requests, over that one's front address; the decisions, limits and the crash count stay with the one that reaches the servers. One hop at most, and at most one run: a response that is lost between the two is 'may have run'. Clients are led away gently.

Ruled out: to announce lost paths by records, which would cost a flood for each change; the answers of those that are asked tell the same.

--- a/packages/cardamomrun-base/src/cardamomrun_base/headers.py
+++ b/packages/cardamomrun-base/src/cardamomrun_base/headers.py
@@ -10,6 +10,10 @@
 INSTANCE = "Cardamomrun-Instance"
 NOT_RUN = "Cardamomrun-Not-Run"
 RATE_LIMIT = "Cardamomrun-Rate-Limit"
+# On a request that an instance asks another one to serve: the address of the client, and
+# the front address of the instance.
+RELAYED_FOR = "Cardamomrun-Relayed-For"
+RELAYED_BY = "Cardamomrun-Relayed-By"
 CUSTOMER = "Cardamomrun-Customer"
 IDEMPOTENCY_KEY = "Idempotency-Key"
 RETRY_AFTER = "Retry-After"
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/address_book.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/address_book.py
@@ -7,6 +7,7 @@
 from cardamomrun_base.model import MemberBody, MemberPhase
 from cardamomrun_base.settings import GatewaySettings, NodeSettings, Role
 from cardamomrun_gateway.fleet_load import FleetLoad
+from cardamomrun_gateway.paths import OwnPaths, PeerPaths
 
 __all__ = ["EntryAddresses"]
 
@@ -31,13 +32,18 @@
         clock: Clock,
         fleet: Fleet,
         load: FleetLoad,
+        paths: OwnPaths,
+        peers: PeerPaths,
         randomness: random.Random | None = None,
     ) -> None:
         self._settings = settings
+        self._own_id = settings.instance_id
         self._gateway = settings.gateway or GatewaySettings()
         self._clock = clock
         self._fleet = fleet
         self._load = load
+        self._paths = paths
+        self._peers = peers
         self._random = randomness or random.Random()
 
     def addresses(self, failure_domain: str) -> list[str]:
@@ -47,12 +53,22 @@
         `MAX_ADDRESS_COUNT`.
         """
         serving = [member for member in self._fleet.members() if _serves(member)]
-        members = self._alive(serving)
+        members = self._reaching(self._alive(serving))
         local = [m for m in members if m.failure_domain == failure_domain]
         chosen = local if len(local) >= MIN_LOCAL_COUNT else members
         self._random.shuffle(chosen)
         return [member.front_address for member in chosen[:MAX_ADDRESS_COUNT]]
 
+    def _reaching(self, members: list[MemberBody]) -> list[MemberBody]:
+        """Return the instances that reach servers as far as is known; all if none do."""
+        reaching = [
+            member
+            for member in members
+            if not self._peers.has_lost_paths(member)
+            and not (self._paths.are_lost and member.instance_id == self._own_id)
+        ]
+        return reaching or members
+
     def _alive(self, members: list[MemberBody]) -> list[MemberBody]:
         seen_ms = {m.instance_id: self._last_seen_ms(m) for m in members}
         domain_seen_ms: dict[str, float] = {}
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/crash_guard.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/crash_guard.py
@@ -72,9 +72,9 @@
     client: str
 
     @classmethod
-    def of(cls, request: ClientRequest) -> "RequestIdentity":
+    def of(cls, request: ClientRequest, client: str) -> "RequestIdentity":
         """Return the identity of a request whose body prefix has been read."""
-        return cls(request.fingerprint("", ""), hash_parts(request.remote_ip)[:16])
+        return cls(request.fingerprint("", ""), hash_parts(client)[:16])
 
     @property
     def fingerprint(self) -> str:
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/dispatch.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/dispatch.py
@@ -7,6 +7,7 @@
 from tornado.httputil import HTTPHeaders
 from tornado.iostream import StreamClosedError
 
+from cardamomrun_base import headers as names
 from cardamomrun_base.clock import MS_PER_S
 from cardamomrun_base.logs import ComponentLog
 from cardamomrun_base.outcomes import NotRun, Outcome, Unknown
@@ -14,6 +15,7 @@
 from cardamomrun_gateway import metrics
 from cardamomrun_gateway.crash_guard import CrashGuard, RequestIdentity
 from cardamomrun_gateway.fleet_load import FleetLoad
+from cardamomrun_gateway.paths import OwnPaths, PeerPaths
 from cardamomrun_gateway.permits import Permit, Permits
 from cardamomrun_gateway.placement import (
     Choice,
@@ -22,6 +24,7 @@
     PlacementCriteria,
 )
 from cardamomrun_gateway.rate_limit import ReturnTimes
+from cardamomrun_gateway.request_relay import PATHS_LOST_KIND, RequestRelay
 from cardamomrun_gateway.routed_request import RoutedRequest
 from cardamomrun_gateway.server_attempt import (
     AttemptDependencies,
@@ -72,6 +75,8 @@
     placement: Placement
     permits: Permits
     crash_guard: CrashGuard
+    paths: OwnPaths
+    peers: PeerPaths
     background: BackgroundTasks
     return_times: dict[str, ReturnTimes] = field(default_factory=dict)
 
@@ -89,7 +94,11 @@
     """Runs one request: finds its route, makes attempts and sends the response."""
 
     def __init__(
-        self, tools: DispatchDependencies, request: ClientRequest, reply: ResponseWriter
+        self,
+        tools: DispatchDependencies,
+        request: ClientRequest,
+        reply: ResponseWriter,
+        own_address: str,
     ) -> None:
         self._tools = tools
         self._request = request
@@ -103,6 +112,17 @@
         self._may_have_run = False
         self._last_failure: NotExecuted | ResponseLost | None = None
         self._identity: RequestIdentity | None = None
+        self._own_address = own_address
+        self._relay: RequestRelay | None = None
+        asked_by = request.headers.get(names.RELAYED_BY)
+        # Only instances of the fleet may say for whom they ask.
+        self._is_relayed = asked_by is not None and tools.peers.is_member(
+            request.remote_ip
+        )
+        self._client = request.remote_ip
+        if self._is_relayed and asked_by is not None:
+            self._client = request.headers.get(names.RELAYED_FOR, request.remote_ip)
+            tools.peers.mark_lost(asked_by)
 
     async def run(self) -> None:
         """Run the request; a cancellation means that the client disconnected."""
@@ -123,13 +143,20 @@
     async def _run(self, arrived_ms: float) -> None:
         try:
             routed = self._resolve(arrived_ms)
+            if self._tools.paths.are_lost:
+                # Leads the client to another instance with its next request.
+                self._reply.draining = True
+                self._refuse_if_relayed()
             remaining_s = (
                 routed.remaining_ms(self._clock) + DEADLINE_GRACE_MS
             ) / MS_PER_S
             async with asyncio.timeout(remaining_s):
                 await self._request.body.read_prefix()
                 self._check_crashes()
-                response = await self._run_attempts(routed)
+                if self._should_run_elsewhere():
+                    response = await self._run_elsewhere(routed)
+                else:
+                    response = await self._run_attempts(routed)
                 await self._forward_response(response)
         except _RequestFailedError as failure:
             await self._send_error(failure)
@@ -161,14 +188,15 @@
             raise _RequestFailedError("no-route", outcome)
         request.body.max_bytes = document.limits.body_bytes
         self._service = self._tools.table.choose_service(route)
-        self._tools.attempt_tools.reports.count_request(self._service)
+        if not self._is_relayed:
+            self._tools.attempt_tools.reports.count_request(self._service)
         deadline_ms = arrived_ms + self._time_limit_ms(route)
         return RoutedRequest(
             request, route, self._service, document.number, arrived_ms, deadline_ms
         )
 
     def _check_crashes(self) -> None:
-        self._identity = RequestIdentity.of(self._request)
+        self._identity = RequestIdentity.of(self._request, self._client)
         if self._is_blocked():
             metrics.REFUSALS.labels(self._service, "crashes").inc()
             raise _refusal(
@@ -187,7 +215,7 @@
         """Find out in the background whether a server crashed."""
         if self._identity is not None:
             check = self._tools.crash_guard.check_crash(
-                attempt.server, self._identity, self._request.remote_ip
+                attempt.server, self._identity, self._client
             )
             self._tools.background.spawn(check)
 
@@ -211,6 +239,36 @@
         except ValueError:
             return route.timeout_ms
 
+    def _refuse_if_relayed(self) -> None:
+        if self._is_relayed:
+            reason = "This instance can't reach backend servers either."
+            raise _refusal(PATHS_LOST_KIND, reason, RETRY_SOON_S)
+
+    def _should_run_elsewhere(self) -> bool:
+        """Return True if this instance can't reach servers and another one may."""
+        return (
+            self._tools.paths.are_lost
+            and not self._is_relayed
+            and not self._may_have_run
+            and self._is_resendable()
+            and self._tools.peers.choose(set()) is not None
+        )
+
+    async def _run_elsewhere(self, routed: RoutedRequest) -> ServerResponse:
+        """Have another instance run the request; raise `_RequestFailedError` if none."""
+        self._relay = RequestRelay(
+            self._clock,
+            self._tools.attempt_tools.header_names,
+            self._tools.peers,
+            self._own_address,
+            routed,
+        )
+        result = await self._relay.run()
+        if isinstance(result, ServerResponse):
+            return result
+        self._may_have_run = isinstance(result, ResponseLost)
+        raise self._failure_error(result, routed)
+
     async def _run_attempts(self, routed: RoutedRequest) -> ServerResponse:
         """Return the response for the client, or raise `_RequestFailedError`."""
         await self._start_attempt(routed)
@@ -309,6 +367,10 @@
         `_RequestFailedError` if there is no such response.
         """
         assert self._last_failure is not None
+        if self._should_run_elsewhere():
+            return await self._run_elsewhere(routed)
+        if self._tools.paths.are_lost and not self._may_have_run:
+            self._refuse_if_relayed()
         if not self._may_start_next(routed):
             return self._last_response(self._last_failure, routed)
         self._tools.attempt_tools.reports.count_retry(self._service)
@@ -504,6 +566,7 @@
 
     def _timeout_error(self) -> _RequestFailedError:
         was_sent = any(attempt.may_have_run for attempt in self._running.values())
+        was_sent = was_sent or (self._relay is not None and self._relay.may_have_run)
         if was_sent or self._may_have_run:
             outcome: Outcome = Unknown(
                 "No response arrived in time.", "ask the application first", 504
@@ -561,6 +624,8 @@
             self._reply.abort()
 
     def _end_attempts(self) -> None:
+        if self._relay is not None:
+            self._relay.close()
         running, self._running = self._running, {}
         for task, attempt in running.items():
             task.cancel()
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/front.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/front.py
@@ -102,10 +102,15 @@
         self, request: ClientRequest, reply: ResponseWriter
     ) -> "asyncio.Task[None]":
         """Start the task that runs a request."""
-        return self._requests.spawn(RequestDispatch(self._tools, request, reply).run())
+        return self._requests.spawn(
+            RequestDispatch(
+                self._tools, request, reply, self._settings.front_address
+            ).run()
+        )
 
     async def _sweep(self) -> None:
         while True:
             await self._clock.sleep_ms(SWEEP_MS)
             self._connections.sweep()
             self._tools.crash_guard.sweep()
+            await self._tools.load.check_paths()
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/routed_request.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/routed_request.py
@@ -71,9 +71,16 @@
         self, header_names: GatewayHeaders, server_id: str, remaining_ms: float
     ) -> HTTPHeaders:
         """Return the request headers for one attempt at a server."""
+        headers = self.forwarded_headers(header_names, remaining_ms)
+        headers[header_names.expected_server] = server_id
+        return headers
+
+    def forwarded_headers(
+        self, header_names: GatewayHeaders, remaining_ms: float
+    ) -> HTTPHeaders:
+        """Return the client's headers with what is left until the deadline."""
         headers = end_to_end_headers(self.request.headers)
         headers[header_names.deadline_ms] = str(max(1, int(remaining_ms)))
-        headers[header_names.expected_server] = server_id
         length = self.request.body.length
         if length is not None and (length > 0 or "Content-Length" in headers):
             headers["Content-Length"] = str(length)
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_attempt.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_attempt.py
@@ -39,6 +39,8 @@
     "Result",
     "ServerAttempt",
     "ServerResponse",
+    "drain",
+    "parse_retry_after",
 ]
 
 # Responses up to this size are buffered, so that another attempt can replace one that
@@ -255,9 +257,9 @@
             if start_line.code == STATUS_MISDIRECTED:
                 self._outcome.end = AttemptEnd.REFUSED
             self._record_limit(headers, is_success=False)
-            await _drain(answer)
+            await drain(answer)
             return NotExecuted(
-                "the server did not run the request", _retry_after(headers)
+                "the server did not run the request", parse_retry_after(headers)
             )
         loss = self._classify_head(start_line, headers)
         if loss is not None:
@@ -327,19 +329,24 @@
         return response
 
 
-async def _drain(answer: UpstreamResponse) -> None:
-    """Read the short body of a refusal, so that the connection can be kept."""
-    read_bytes = 0
+async def drain(answer: UpstreamResponse) -> bytes:
+    """Read the short body of a refusal, so that the connection can be kept.
+
+    Returns what came within `REFUSAL_BODY_MS`, about `REFUSAL_BODY_BYTES` at most.
+    """
+    body = bytearray()
     with suppress(IncompleteBodyError, TimeoutError):
         async with asyncio.timeout(REFUSAL_BODY_MS / MS_PER_S):
-            while read_bytes <= REFUSAL_BODY_BYTES:
+            while len(body) <= REFUSAL_BODY_BYTES:
                 chunk = await answer.body.get()
                 if chunk is None:
-                    return
-                read_bytes += len(chunk)
+                    break
+                body += chunk
+    return bytes(body)
 
 
-def _retry_after(headers: HTTPHeaders) -> float | None:
+def parse_retry_after(headers: HTTPHeaders) -> float | None:
+    """Return the seconds of a Retry-After header, or None without a valid one."""
     try:
         retry_after_s = float(headers["Retry-After"])
     except (KeyError, ValueError):
--- a/packages/cardamomrun-gateway/tests/builders.py
+++ b/packages/cardamomrun-gateway/tests/builders.py
@@ -46,6 +46,7 @@
     instance_key,
 )
 from cardamomrun_gateway.load_reports import LoadReports
+from cardamomrun_gateway.paths import OwnPaths, PeerPaths
 from cardamomrun_gateway.permits import Permits
 from cardamomrun_gateway.placement import Placement, PlacementCriteria
 from cardamomrun_gateway.retry_budget import RetryBudget
@@ -248,7 +249,9 @@
         self.fleet = FakeFleet(name)
         self.store = self.fleet.store
         self.table = RoutingTable(self.store)
-        self.load = FleetLoad(self.clock, self.store, name)
+        self.paths = OwnPaths(self.clock)
+        self.peers = PeerPaths(self.clock, self.fleet, "kelowna-a")
+        self.load = FleetLoad(self.clock, self.store, name, self.paths)
         settings = self.settings.gateway
         self.budget = RetryBudget(settings, self.clock)
         self.reports = LoadReports(
@@ -273,6 +276,8 @@
                 placement,
                 Permits(self.clock, self.load, self.limits, self.reports),
                 CrashGuard(self.clock, self.fleet, self.load),
+                self.paths,
+                self.peers,
                 BackgroundTasks(),
             ),
             connections,
--- a/packages/cardamomrun-gateway/tests/test_address_book.py
+++ b/packages/cardamomrun-gateway/tests/test_address_book.py
@@ -7,6 +7,7 @@
 from cardamomrun_base.settings import GatewaySettings
 from cardamomrun_gateway.address_book import EntryAddresses
 from cardamomrun_gateway.fleet_load import FleetLoad
+from cardamomrun_gateway.paths import OwnPaths, PeerPaths
 
 from .builders import FakeFleet, gateway_settings, member, no_report, relay_message
 
@@ -20,12 +21,20 @@
         self.clock = ManualClock(50_000.0)
         self.fleet = FakeFleet("c1")
         self.load = FleetLoad(self.clock, self.fleet.store)
+        self.paths = OwnPaths(self.clock)
+        self.peers = PeerPaths(self.clock, self.fleet, LOCAL)
         self.sequence = 0
         self.fleet.listed = [
             member(f"e{i}", LOCAL if i < 4 else REMOTE, port=i) for i in range(1, 7)
         ]
         self.book = EntryAddresses(
-            gateway_settings(), self.clock, self.fleet, self.load, random.Random(1)
+            gateway_settings(),
+            self.clock,
+            self.fleet,
+            self.load,
+            self.paths,
+            self.peers,
+            random.Random(1),
         )
 
     def receive_reports(self, *numbers):
--- a/packages/cardamomrun-gateway/tests/test_lost_paths.py
+++ b/packages/cardamomrun-gateway/tests/test_lost_paths.py
@@ -7,7 +7,9 @@
 import pytest
 
 from cardamomrun_bench.scripted_server import ScriptedServer, Step, free_port
+from cardamomrun_gateway.address_book import EntryAddresses
 from cardamomrun_gateway.fleet_load import FleetLoad
+from cardamomrun_gateway.paths import OwnPaths, PeerPaths
 from cardamomrun_gateway.server_health import AttemptEnd
 
 from .builders import (
@@ -16,12 +18,15 @@
     Gateway,
     OffsetClock,
     document,
+    gateway_settings,
     member,
     no_report,
     relay_message,
+    request,
     response,
     server_body,
     server_record,
+    until,
 )
 
 SERVER_COUNT = 6
@@ -133,3 +138,121 @@
     ]
     load.merge(relay_message(ended=ended), no_report)
     assert not [server for server in servers if server.health.is_suspected]
+
+
+async def lose_paths(running):
+    """Send requests until the instance knows that its paths are lost."""
+    async with asyncio.timeout(WINDOW_S):
+        while not running.cut_off.paths.are_lost:
+            await running.cut_off.call("POST", "/b/lose")
+
+
+def test_two_instances_that_lost_their_paths_do_not_ask_each_other_in_turn():
+    """Guards against requests that go round between instances."""
+
+    async def main():
+        async with pair() as running:
+            await lose_paths(running)
+            for number in range(1, SERVER_COUNT + 1):
+                running.other.paths.record_failure(number, SERVER_COUNT)
+            received = await running.cut_off.call("POST", "/b/x", b"body")
+            assert (received.status, received.outcome) == (503, "not-run")
+            assert running.cut_off.peers.choose(set()) is None
+
+    asyncio.run(main())
+
+
+def test_a_lost_response_of_another_instance_is_not_replaced_by_a_second_run():
+    """Guards against a request that runs twice because it went through two instances."""
+
+    async def main():
+        async with pair(steps=[Step(b"", "reset")]) as running:
+            await lose_paths(running)
+            before = running.run_count()
+            received = await running.cut_off.call("POST", "/b/x", b"body")
+            assert (received.status, received.outcome) == (502, "unknown")
+            assert running.run_count() == before + 1
+
+    asyncio.run(main())
+
+
+def test_a_client_that_leaves_ends_the_request_at_the_other_instance():
+    """Guards against servers that work for clients that have left."""
+
+    async def main():
+        async with pair() as running:
+            await lose_paths(running)
+            for server in running.servers:
+                server.steps = [Step(b"", "hang")]
+            before = running.run_count()
+            _, writer = await running.cut_off.connect()
+            writer.write(request("POST", "/b/x", b"body"))
+            await until(lambda: running.run_count() == before + 1)
+            writer.close()
+            await until(
+                lambda: all(
+                    s.closed_count == s.connection_count for s in running.servers
+                )
+            )
+
+    asyncio.run(main())
+
+
+def test_an_instance_uses_its_own_paths_again_once_they_are_back():
+    """Guards against a detour that outlasts the cut."""
+
+    async def main():
+        async with pair() as running:
+            await lose_paths(running)
+            cut_off = running.cut_off
+            for server in running.other.load.servers_of("rota-desk"):
+                cut_off.store.put(server_record(server.body, counter=4))
+            await until(lambda: not cut_off.paths.are_lost)
+            received = await cut_off.call("POST", "/b/x", b"body")
+            assert received.status == 200
+            assert received.headers["cardamomrun-instance"] == "e1"
+
+    asyncio.run(main())
+
+
+def test_the_headers_between_instances_reach_no_server():
+    """Guards against names of the fleet's instances in requests to servers."""
+
+    async def main():
+        async with pair() as running:
+            await lose_paths(running)
+            received = await running.cut_off.call("POST", "/b/x", b"body", x_kept="1")
+            assert received.status == 200
+            heads = [head.lower() for s in running.servers for head in s.heads]
+            assert heads and all(b"x-kept: 1" in head for head in heads[-1:])
+            assert not [head for head in heads if b"relayed" in head]
+
+    asyncio.run(main())
+
+
+def test_one_server_that_refuses_connections_does_not_look_like_lost_paths():
+    """Guards against a detour because of servers that are down."""
+    paths = OwnPaths(OffsetClock())
+    for _ in range(10):
+        paths.record_failure(1, SERVER_COUNT)
+    assert not paths.are_lost
+    for key in (2, 3, 4, 5, 6):
+        paths.record_response(float("inf"))
+        paths.record_failure(key, SERVER_COUNT)
+    assert not paths.are_lost
+
+
+def test_clients_are_led_to_instances_that_reach_servers():
+    """Guards against a directory that goes on naming instances without paths."""
+    clock = OffsetClock()
+    fleet = FakeFleet("e1")
+    fleet.listed = [member(f"e{number}", port=number) for number in (1, 2, 3)]
+    paths, peers = OwnPaths(clock), PeerPaths(clock, fleet, "kelowna-a")
+    load = FleetLoad(clock, fleet.store, "e1", paths)
+    book = EntryAddresses(gateway_settings(), clock, fleet, load, paths, peers)
+    for number in range(SERVER_COUNT):
+        paths.record_failure(number, SERVER_COUNT)
+    peers.mark_lost("127.0.0.1:2")
+    assert book.addresses("kelowna-a") == ["127.0.0.1:3"]
+    peers.mark_lost("127.0.0.1:3")
+    assert len(book.addresses("kelowna-a")) == 3
--- a/packages/cardamomrun-node/src/cardamomrun_node/gateway_node.py
+++ b/packages/cardamomrun-node/src/cardamomrun_node/gateway_node.py
@@ -16,6 +16,7 @@
 from cardamomrun_gateway.fleet_load import FleetLoad
 from cardamomrun_gateway.front import GatewayFront
 from cardamomrun_gateway.load_reports import LoadReports
+from cardamomrun_gateway.paths import OwnPaths, PeerPaths
 from cardamomrun_gateway.permits import Permits
 from cardamomrun_gateway.placement import Placement
 from cardamomrun_gateway.retry_budget import RetryBudget
@@ -54,8 +55,14 @@
         self.table = RoutingTable(self.fleet.store)
         self.control: RoutingControl | None = None
         self.registry: ServerRegistry | None = None
-        self._load = FleetLoad(clock, self.fleet.store, settings.instance_id)
-        self.addresses = EntryAddresses(settings, clock, self.fleet, self._load)
+        self._paths = OwnPaths(clock)
+        self._peers = PeerPaths(clock, self.fleet, settings.failure_domain)
+        self._load = FleetLoad(
+            clock, self.fleet.store, settings.instance_id, self._paths
+        )
+        self.addresses = EntryAddresses(
+            settings, clock, self.fleet, self._load, self._paths, self._peers
+        )
         self._budget = RetryBudget(self._gateway, clock)
         self._reports = LoadReports(
             settings, clock, self.fleet, self._load, self._budget
@@ -144,6 +151,8 @@
             placement,
             Permits(clock, load, limits, self._reports),
             crash_guard,
+            self._paths,
+            self._peers,
             BackgroundTasks(),
         )
         self._front = GatewayFront(settings, clock, self._headers, tools, connections)
