Do not send a request on once servers have refused it at another instance

Servers had shed the request at the first one's attempts, and each instance counts its own attempts against the budget, so the first attempt of the next one was a repeat that nobody counted.

Errors that come before any attempt (no document, no route, lost paths) are still followed by another instance.

--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/request_relay.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/request_relay.py
@@ -39,7 +39,7 @@
 # Kind of the error by which an instance says that it can't reach servers either.
 PATHS_LOST_KIND = "paths-lost"
 # Errors after which another instance is asked: they say nothing about the servers.
-ASK_ANOTHER_KINDS = frozenset((PATHS_LOST_KIND, "no-document", "no-route", "not-run"))
+ASK_ANOTHER_KINDS = frozenset((PATHS_LOST_KIND, "no-document", "no-route"))
 
 _log = ComponentLog("front")
 
--- a/packages/cardamomrun-gateway/tests/test_lost_paths.py
+++ b/packages/cardamomrun-gateway/tests/test_lost_paths.py
@@ -21,6 +21,7 @@
     gateway_settings,
     member,
     no_report,
+    not_run,
     relay_message,
     request,
     response,
@@ -256,3 +257,33 @@
     assert book.addresses("kelowna-a") == ["127.0.0.1:3"]
     peers.mark_lost("127.0.0.1:3")
     assert len(book.addresses("kelowna-a")) == 3
+
+
+def test_a_request_that_servers_shed_is_not_sent_by_one_instance_after_the_other():
+    """Guards against attempts beyond the retry budget of the instance that makes them."""
+
+    async def main():
+        async with pair() as running:
+            await lose_paths(running)
+            for server in running.servers:
+                server.steps = [Step(not_run())]
+            # A kept connection has the step before.
+            running.other.connections.close()
+            third = Gateway(document(routes=ROUTES), [], "e3")
+            await third.front.start()
+            try:
+                for server in running.other.load.servers_of("rota-desk"):
+                    third.store.put(server_record(server.body))
+                running.cut_off.fleet.listed = [
+                    *running.cut_off.fleet.listed,
+                    member("e3", port=third.settings.front_port),
+                ]
+                third.fleet.listed = running.cut_off.fleet.listed
+                before = running.run_count()
+                received = await running.cut_off.call("POST", "/b/x", b"body")
+                assert (received.status, received.outcome) == (503, "not-run")
+                assert running.run_count() - before <= SERVER_COUNT
+            finally:
+                await third.front.stop()
+
+    asyncio.run(main())
