Check other servers before paths count as lost

Found by reading: a service that is down as a whole gives an instance three failed connections in a row within some milliseconds. The instance then took its own paths for lost, refused what others asked of it, and asked others to run its requests, who tried the same service: one dead service could have made all instances refuse the healthy ones.

Three failures in a row now lead to a check: connections to four other servers, of any service, at the same time. None reached means lost paths; the same check notices their return. It takes some milliseconds where connections are refused, 200 ms where they are silent.

test_a_service_that_is_down_does_not_look_like_lost_paths fails without the change and passes with it. test_one_server_that_refuses_connections_does_not_look_like_lost_paths has the same cases as before, and asks now that they don't even lead to a check.

--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/fleet_load.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/fleet_load.py
@@ -251,8 +251,9 @@
         self._record_end(server, AttemptEnd.OVERDUE, started_ms, now_ms, own_tag)
 
     async def check_paths(self) -> None:
-        """Use servers again once connections to them work, after all had failed."""
-        addresses = [server.body.address for server in self._by_id.values()]
+        """Check once whether this instance reaches servers, when that is due."""
+        await self._paths.wait_check_due()
+        addresses = {server.key: server.body.address for server in self._by_id.values()}
         if await self._paths.check(addresses):
             for server in self._by_id.values():
                 server.blocked_until_ms = float("-inf")
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/front.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/front.py
@@ -55,13 +55,16 @@
         self._connections = connections
         self._listener = ClientListener(settings, self, idle_s=IDLE_S)
         self._requests = tools.background
-        self._sweeper: asyncio.Task[None] | None = None
+        self._loops: list[asyncio.Task[None]] = []
         self.draining = False
 
     async def start(self) -> None:
         """Listen on the front address. Raises `AddressInUseError`."""
         self._listener.open()
-        self._sweeper = asyncio.create_task(self._sweep())
+        self._loops = [
+            asyncio.create_task(self._sweep()),
+            asyncio.create_task(self._watch_paths()),
+        ]
         _log.info("listening", address=self._settings.front_address)
 
     async def stop(self) -> None:
@@ -76,8 +79,8 @@
         self._listener.refuse_new()
         await self._requests.wait()
         await self._listener.wait_closed()
-        if self._sweeper is not None:
-            self._sweeper.cancel()
+        for loop in self._loops:
+            loop.cancel()
         self._connections.close()
         _log.info("all requests have ended")
 
@@ -113,4 +116,7 @@
             await self._clock.sleep_ms(SWEEP_MS)
             self._connections.sweep()
             self._tools.crash_guard.sweep()
+
+    async def _watch_paths(self) -> None:
+        while True:
             await self._tools.load.check_paths()
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/paths.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/paths.py
@@ -13,13 +13,15 @@
 
 __all__ = ["ConnectFailures", "OwnPaths", "PeerPaths"]
 
-# Connections to this many servers fail one after the other, with no response from any
-# server in between, if the paths of the instance are lost.
-LOST_SERVER_COUNT = 3
+# After failed connections to this many servers, with no response from any server in
+# between, the paths of the instance are checked.
+SUSPICIOUS_SERVER_COUNT = 3
 # Failures further apart are not taken together.
 FAILURES_MS = 3_000.0
-# The paths are back once half of this many servers are reached, since some may be down.
+# A check connects to this many servers, of all services since one may be down as a whole.
+# The paths are there if one of them is reached.
 CHECKED_SERVER_COUNT = 4
+CHECK_INTERVAL_MS = 500.0
 CONNECT_TIMEOUT_MS = 200.0
 # How long an instance that has lost its paths is not asked to serve for another one.
 PEER_LOST_MS = 2_000.0
@@ -73,42 +75,54 @@
         self._clock = clock
         self._random = randomness or random.Random()
         self._failures = ConnectFailures()
-        self._is_checking = False
+        self._suspected = asyncio.Event()
         self.are_lost = False
 
     def record_failure(self, server_key: int, known_count: int) -> None:
         """Record a failed connection; `known_count` servers are known in all."""
         self._failures.add(server_key, self._clock.now_ms())
-        limit = min(LOST_SERVER_COUNT, known_count)
-        if not self.are_lost and known_count > 1 and len(self._failures) >= limit:
-            self.are_lost = True
-            metrics.PATHS_LOST.set(1)
-            _log.warning(
-                "has lost its paths to backend servers", failed=len(self._failures)
-            )
+        limit = min(SUSPICIOUS_SERVER_COUNT, known_count)
+        if known_count > 1 and len(self._failures) >= limit:
+            self._suspected.set()
 
     def record_response(self, started_ms: float) -> None:
         """Record that an attempt got a response."""
         self._failures.add_response(started_ms)
 
-    async def check(self, addresses: list[str]) -> bool:
-        """Connect to servers while the paths are lost; return True if they are back."""
-        if not self.are_lost or self._is_checking or not addresses:
-            return False
-        self._is_checking = True
-        count = min(CHECKED_SERVER_COUNT, len(addresses))
-        checked = self._random.sample(addresses, count)
-        try:
-            reached = await asyncio.gather(*map(_can_connect, checked))
-        finally:
-            self._is_checking = False
-        if 2 * sum(reached) < count:
-            return False
-        self.are_lost = False
+    @property
+    def is_suspected(self) -> bool:
+        """True if failures call for a check that has not ended yet."""
+        return self._suspected.is_set()
+
+    async def wait_check_due(self) -> None:
+        """Wait until the paths are suspected, or have been lost for the interval."""
+        if not self.are_lost:
+            await self._suspected.wait()
+        else:
+            await self._clock.sleep_ms(CHECK_INTERVAL_MS)
+
+    async def check(self, addresses: dict[int, str]) -> bool:
+        """Connect to some servers, by their keys; return True if lost paths are back.
+
+        Servers that have just failed are left out if there are others.
+        """
+        failed = set(self._failures.server_keys)
+        others = [address for key, address in addresses.items() if key not in failed]
+        candidates = others or list(addresses.values())
+        count = min(CHECKED_SERVER_COUNT, len(candidates))
+        checked = self._random.sample(candidates, count)
+        reached = await asyncio.gather(*map(_can_connect, checked))
+        was_lost = self.are_lost
+        self.are_lost = count > 0 and not any(reached)
         self._failures.clear()
-        metrics.PATHS_LOST.set(0)
-        _log.info("reaches backend servers again")
-        return True
+        self._suspected.clear()
+        if self.are_lost and not was_lost:
+            metrics.PATHS_LOST.set(1)
+            _log.warning("has lost its paths to backend servers", checked=count)
+        elif was_lost and not self.are_lost:
+            metrics.PATHS_LOST.set(0)
+            _log.info("reaches backend servers again")
+        return was_lost and not self.are_lost
 
 
 class PeerPaths:
@@ -145,7 +159,13 @@
 
     def mark_lost(self, address: str) -> None:
         """Record that an instance, by its front address, can't reach servers now."""
-        self._lost_until_ms[address] = self._clock.now_ms() + PEER_LOST_MS
+        now_ms = self._clock.now_ms()
+        self._lost_until_ms = {
+            name: until_ms
+            for name, until_ms in self._lost_until_ms.items()
+            if until_ms > now_ms
+        }
+        self._lost_until_ms[address] = now_ms + PEER_LOST_MS
         self._served_ms.pop(address, None)
 
     def has_lost_paths(self, member: MemberBody) -> bool:
@@ -185,7 +205,7 @@
 async def _can_connect(address: str) -> bool:
     try:
         stream = await open_stream(address, CONNECT_TIMEOUT_MS)
-    except ConnectError:
+    except (ConnectError, ValueError):
         return False
     stream.close()
     return True
