Share the exchange up to the response head between attempts and relayed requests

The two had the same eleven lines; they are send_until_head now. No decision changes; the tests of attempts, crashing requests and lost paths pass (107).

--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/request_relay.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/request_relay.py
@@ -1,6 +1,5 @@
 """Has another entry instance serve a request, once this one can't reach servers."""
 
-import asyncio
 import json
 
 from tornado.httputil import HTTPHeaders, ResponseStartLine
@@ -21,7 +20,7 @@
     drain,
     parse_retry_after,
 )
-from cardamomrun_requests.sending import cancel_sending, raise_client_error
+from cardamomrun_requests.sending import send_until_head
 from cardamomrun_requests.upstream import (
     ConnectError,
     EchoedHeader,
@@ -117,16 +116,7 @@
             request.body.buffered_start(),
             identity,
         )
-        sending = asyncio.create_task(self._send_body(connection))
-        try:
-            head_or_sending: set[asyncio.Future] = {answer.head, sending}
-            await asyncio.wait(head_or_sending, return_when=asyncio.FIRST_COMPLETED)
-            if not answer.head.done():
-                raise_client_error(sending)
-                await asyncio.wait({answer.head})
-        finally:
-            await cancel_sending(sending)
-        head = answer.head.result()
+        head = await send_until_head(connection, answer, request.body)
         if head is None:
             return "", ResponseLost("another instance gave no response")
         return await self._classify(address, answer, *head)
@@ -141,12 +131,6 @@
         headers["Connection"] = f"close, {names.RELAYED_FOR}, {names.RELAYED_BY}"
         return headers
 
-    async def _send_body(self, connection: UpstreamConnection) -> None:
-        body = self._routed.request.body
-        while (chunk := await body.read_chunk()) is not None:
-            await connection.write(chunk)
-        connection.finish_request()
-
     async def _classify(
         self,
         address: str,
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_attempt.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_attempt.py
@@ -23,7 +23,7 @@
 from cardamomrun_gateway.server_limits import ServerLimits, parse_limit
 from cardamomrun_requests.body_channel import BodyChannel, IncompleteBodyError
 from cardamomrun_requests.framing import has_no_body
-from cardamomrun_requests.sending import cancel_sending, raise_client_error
+from cardamomrun_requests.sending import send_until_head
 from cardamomrun_requests.upstream import (
     ConnectError,
     ConnectRefusedError,
@@ -208,27 +208,11 @@
         answer = connection.start(
             request.method, request.target, headers, first, identity
         )
-        sending = asyncio.create_task(self._send_body(connection))
-        try:
-            # The server may respond before it has received the whole body.
-            head_or_sending: set[asyncio.Future] = {answer.head, sending}
-            await asyncio.wait(head_or_sending, return_when=asyncio.FIRST_COMPLETED)
-            if not answer.head.done():
-                raise_client_error(sending)
-                await asyncio.wait({answer.head})
-        finally:
-            await cancel_sending(sending)
-        head = answer.head.result()
+        head = await send_until_head(connection, answer, request.body)
         if head is None:
             return self._classify_no_response(answer, connection)
         return await self._receive_response(answer, *head)
 
-    async def _send_body(self, connection: UpstreamConnection) -> None:
-        body = self._routed.request.body
-        while (chunk := await body.read_chunk()) is not None:
-            await connection.write(chunk)
-        connection.finish_request()
-
     def _classify_no_response(
         self, answer: UpstreamResponse, connection: UpstreamConnection
     ) -> ResponseLost:
