Retire a server that leaves before it was known in every start until now

Cause, from the logs: the server had started behind a cut and had never been announced when it deregistered at 16.298 s, without naming its start. It was retired in incarnation 0. Its first check-in arrived late, at 18.421 s, with its real start, which counts as a newer incarnation, so it was published.

A departure that names no start, of a server that is not known here, now retires every start until now by this machine's time of day. Where that is wrong by seconds, a server that starts again under the same id within them is refused; without a start in the message there is nothing else to compare. test_a_server_that_left_before_it_was_known_does_not_come_back failed before and passes.

--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_registry.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_registry.py
@@ -122,11 +122,18 @@
     async def leave(self, server_id: ServerId, incarnation: int | None) -> None:
         """Retire a server; without `incarnation`, in the one that is known.
 
+        If none is known, every start until now is retired, since an announcement of the
+        server may still be on its way. This compares the server's clock with the one here.
+
         Raises `UnavailableError` if no majority has stored that.
         """
         current = self._fleet.store.get(RecordKind.ROUTED_SERVER, server_id)
         if incarnation is None:
-            incarnation = 0 if current is None else current.content.incarnation
+            incarnation = (
+                self._clock.wall_ms()
+                if current is None
+                else current.content.incarnation
+            )
         await self._control.retire(server_id, incarnation, is_gone=True)
 
     async def run(self) -> None:
--- a/packages/cardamomrun-gateway/tests/test_server_registry.py
+++ b/packages/cardamomrun-gateway/tests/test_server_registry.py
@@ -108,6 +108,19 @@
     assert fixture.record().content.phase is BackendPhase.SERVING
 
 
+def test_a_server_that_left_before_it_was_known_does_not_come_back():
+    """Guards against work for a server that has left, by its late first announcement."""
+    fixture = RegistryFixture()
+    started_ms = fixture.clock.wall_ms()
+    fixture.clock.advance_ms(1_000)
+    asyncio.run(fixture.registry.leave("b1", None))
+    fixture.announce(incarnation=started_ms, sequence=2)
+    assert fixture.record() is None
+    fixture.clock.advance_ms(1_000)
+    fixture.announce(incarnation=fixture.clock.wall_ms(), sequence=1)
+    assert fixture.record() is not None
+
+
 @pytest.mark.parametrize(("given", "expected"), [(None, 100), (70, 70)])
 def test_a_server_leaves_in_the_known_or_the_given_incarnation(given, expected):
     fixture = RegistryFixture()
