--- a/review/stand_ins/deployment.py
+++ b/review/stand_ins/deployment.py
@@ -193,6 +193,19 @@
     def nodes(self):
         return [*self.control, *self.entry]
 
+    def replace_control(self, lost):
+        """Kill a control machine for good; return its successor, not started yet.
+
+        The successor has another address, an empty disk and no `bootstrap`.
+        """
+        lost.kill()
+        self.control.remove(lost)
+        seeds = [f"{node.ip}:{CONTROL_PORT}" for node in self.control[:3]]
+        node = Node(self.folder, f"{self.network}.9", lost.zone, seeds, True)
+        node.bootstrap = False
+        self.control.append(node)
+        return node
+
     def new_address(self):
         """Return a loopback address that nothing uses, for a stand-in."""
         return f"{self.network}.{next(self._next_host)}"
