--- a/review/2/case.py
+++ b/review/2/case.py
@@ -28,9 +28,9 @@
 GRACE_S = 6.0
 # Requests sent up to now may be cut if their target is at work near the end.
 EXCUSED_S = 3.0
-# As for `panel-order` of the site: its requests wait for 6,634 ms, and its work takes
-# up to 4,400 ms.
-DEADLINE_MS = 6_634
+# As for `panel-order` of the site: its page says 6,634 ms and its file 6,000, and its work
+# takes up to 4,400 ms.
+DEADLINE_MS = 6_000
 WORK_S = 3.2
 SENDING_S = 4.0
 SPACING_S = 0.05
@@ -51,7 +51,7 @@
 
 async def play(record):
     """Send unsafe requests while the machine stops, and look for their answers."""
-    async with Fleet(record, entry_count=2) as fleet:
+    async with Fleet(record, entry_count=3) as fleet:
         operator = Operator(fleet)
         routes = [
             route(
@@ -62,7 +62,7 @@
                 slo_latency_ms=2_219,
             )
         ]
-        await operator.put(manifest(7, routes))
+        await operator.put_first(manifest(7, routes))
         targets = [Target(fleet, slots=6, work_s=WORK_S) for _ in range(25)]
         for target in targets:
             await target.start()
@@ -82,12 +82,15 @@
         requester = Requester(record)
         answers = {}
         sent_s = {}
+        waited_s = {}
 
         async def send(age_s):
+            started_s = time.monotonic()
             attempt_id, answer = await requester.send(
                 front, "POST", "/pufi791/4c", b"x" * 900, deadline_ms=DEADLINE_MS
             )
             sent_s[attempt_id], answers[attempt_id] = age_s, answer
+            waited_s[attempt_id] = time.monotonic() - started_s
 
         term_s = time.monotonic()
         if has_trouble():
@@ -103,13 +106,17 @@
             leaving.kill()
         await asyncio.gather(*sending)
         ran_ids = {run.attempt_id for target in targets for run in target.runs}
+        if not ran_ids:
+            raise CaseError("no request ran")
         return [
             f"LOST: {attempt_id}, sent {age_s:.2f} s after SIGTERM, was passed on to a "
             "target and has no answer"
             for attempt_id, age_s in sorted(sent_s.items())
+            # Not where the requester's deadline or the route's timeout was reached.
             if age_s > EXCUSED_S
             and attempt_id in ran_ids
             and answers[attempt_id] is None
+            and waited_s[attempt_id] < DEADLINE_MS / 1_000
         ]
 
 
--- a/review/stand_ins/deployment.py
+++ b/review/stand_ins/deployment.py
@@ -21,8 +21,9 @@
 
 REPOSITORY = Path(__file__).resolve().parents[2]
 COMMAND = ["python3", "-P", "-m", "cardamomrun_platform"]
-ZONES = ("kelowna-a", "kelowna-b", "vernon-a", "penticton-a")
-REGION = "bc-interior"
+# Names, bounds and machines are those of the site sfc-gateway-grown, with fewer machines.
+ZONES = ("karachi-a", "hyderabad-b", "sukkur-c", "larkana-d")
+REGION = "pk-south"
 HOST = "ficu95.example"
 SERVICE = "huvo11a"
 OTHER_SERVICE = "wuno96b"
@@ -35,7 +36,7 @@
     "addr_reuse_s=2",
     "stability_window_ms=3000",
     "ack_ms=4000",
-    "catch_up_s=4",
+    "catch_up_s=6",
     "drain_ms=2000",
     "grace_s=6",
     "loss_slack_ms=200",
@@ -44,7 +45,7 @@
     "max_stretch_ms=5000",
     "retry_budget_ratio=0.2",
     "budget_window_s=10",
-    "budget_slack=62",
+    "budget_slack=180",
     "recover_s=15",
     "ttl_max_s=5",
     "probes_per_s=3",
@@ -140,11 +141,11 @@
             "bootstrap": self.bootstrap,
             "counts_as_fault": self.is_control,
             "limits": {
-                "cpu_share": 0.86,
+                "cpu_share": 0.645 if self.is_control else 0.43,
                 "cores": 1,
-                "memory_mb": 300,
-                "max_fds": 4100,
-                "link_mbps": 1000.0,
+                "memory_mb": 296 if self.is_control else 200,
+                "max_fds": 4096 if self.is_control else 4100,
+                "link_mbps": 1000.0 if self.is_control else 2.0,
                 "disk_mb": 256 if self.is_control else 0,
             },
             "data_dir": str(self._folder / ip) if self.is_control else None,
@@ -159,6 +160,7 @@
                 "retry",
                 "recover",
                 "health",
+                "pool",
             ],
             "fault_tolerance": {"machines": 1, "zones": 0, "regions": 0},
             "bounds": BOUNDS,
@@ -216,8 +218,12 @@
     async def __aenter__(self):
         if not (REPOSITORY / "target" / "deps").is_dir():
             raise CaseError("target/deps is missing: run the build of the deploy file")
-        for node in self.nodes:
-            node.start()
+        try:
+            for node in self.nodes:
+                node.start()
+        except BaseException:
+            await self.__aexit__()
+            raise
         return self
 
     async def __aexit__(self, *_):
@@ -392,6 +398,12 @@
     async def put(self, content, limit_s=30.0):
         return await self.put_bytes(json.dumps(content).encode(), limit_s)
 
+    async def put_first(self, content):
+        """Send the first manifest, without which a case can't run."""
+        status = await self.put(content)
+        if status != 200:
+            raise CaseError(f"the first manifest is answered with {status}")
+
     async def get(self, limit_s=10.0):
         """Return the body of the newest manifest, or None."""
         end_s = time.monotonic() + limit_s
