Refuse requests that may outlast the stop of an instance

Cause: a stopping instance took every request, whatever the request might need and however little of the grace period was left. Neither the stop nor the dispatch knew when the process would be killed. Ruled out: a grace period counted late (log line and signal less than 10 ms apart).

Change: Shutdown holds the grace period, from the signal on, and each attempt and each request that another instance shall run has to fit into it. In the first quarter it is enough that the request will likely end (three times the mean of its route), later it must end even if it uses all of its time. Others are refused at once with 503, not run, Connection: close and Retry-After: 0 while another instance serves, else the rest of the grace period. The same for first attempts after a slow upload, further attempts, hedges, requests relayed by a stopping instance or to one; the one that asks goes on to another instance.

Why it works: a request that is taken late ends, served or at its deadline, 500 ms before the period does. One that is taken early is lost only if its work takes longer than three quarters of the period less 500 ms, although the mean of its route is under a third of what is left.

--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/dispatch.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/dispatch.py
@@ -24,7 +24,11 @@
     PlacementCriteria,
 )
 from cardamomrun_gateway.rate_limit import ReturnTimes
-from cardamomrun_gateway.request_relay import PATHS_LOST_KIND, RequestRelay
+from cardamomrun_gateway.request_relay import (
+    LEAVING_KIND,
+    PATHS_LOST_KIND,
+    RequestRelay,
+)
 from cardamomrun_gateway.routed_request import RoutedRequest
 from cardamomrun_gateway.server_attempt import (
     AttemptDependencies,
@@ -34,6 +38,7 @@
     ServerAttempt,
     ServerResponse,
 )
+from cardamomrun_gateway.shutdown import Shutdown
 from cardamomrun_gateway.table import RoutingTable
 from cardamomrun_requests.background import BackgroundTasks
 from cardamomrun_requests.body_channel import IncompleteBodyError
@@ -78,6 +83,7 @@
     paths: OwnPaths
     peers: PeerPaths
     background: BackgroundTasks
+    shutdown: Shutdown
     return_times: dict[str, ReturnTimes] = field(default_factory=dict)
 
 
@@ -143,6 +149,7 @@
     async def _run(self, arrived_ms: float) -> None:
         try:
             routed = self._resolve(arrived_ms)
+            self._check_shutdown(routed)
             if self._tools.paths.are_lost:
                 # Leads the client to another instance with its next request.
                 self._reply.draining = True
@@ -205,6 +212,30 @@
                 RETRY_AFTER_CRASHES_S,
             )
 
+    def _check_shutdown(self, routed: RoutedRequest) -> None:
+        """Refuse a request that may not end before this instance is killed."""
+        if self._has_time(routed):
+            return
+        left_ms = self._tools.shutdown.remaining_ms
+        _log.info(
+            "refuses a request: it may outlast the stop of this instance",
+            request_id=self._request.request_id,
+            route=routed.route.name,
+            request_ms=round(routed.remaining_ms(self._clock)),
+            left_ms=round(left_ms),
+        )
+        metrics.REFUSALS.labels(self._service, LEAVING_KIND).inc()
+        has_other = self._tools.peers.choose(set()) is not None
+        raise _refusal(
+            LEAVING_KIND,
+            "This instance stops.",
+            0.0 if has_other else left_ms / MS_PER_S,
+        )
+
+    def _has_time(self, routed: RoutedRequest) -> bool:
+        likely_ms = self._tools.attempt_tools.route_times.overdue_ms(routed.route)
+        return self._tools.shutdown.has_time_for(routed, likely_ms)
+
     def _is_blocked(self) -> bool:
         guard = self._tools.crash_guard
         return self._identity is not None and guard.is_blocked(
@@ -256,6 +287,7 @@
 
     async def _run_elsewhere(self, routed: RoutedRequest) -> ServerResponse:
         """Have another instance run the request; raise `_RequestFailedError` if none."""
+        self._check_shutdown(routed)
         self._relay = RequestRelay(
             self._clock,
             self._tools.attempt_tools.header_names,
@@ -328,6 +360,7 @@
             self._not_run_count += 1
 
     async def _start_attempt(self, routed: RoutedRequest) -> None:
+        self._check_shutdown(routed)
         choice, permit = await self._choose_server(routed)
         self._launch_attempt(routed, choice, permit)
 
@@ -416,6 +449,7 @@
             len(self._running) == 1
             and all(attempt.is_overdue for attempt in self._running.values())
             and self._may_retry(routed)
+            and self._has_time(routed)
             and not self._is_blocked()
             and self._tools.attempt_tools.reports.allows_retry(self._service)
         )
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/front.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/front.py
@@ -56,7 +56,11 @@
         self._listener = ClientListener(settings, self, idle_s=IDLE_S)
         self._requests = tools.background
         self._loops: list[asyncio.Task[None]] = []
-        self.draining = False
+
+    @property
+    def draining(self) -> bool:
+        """True once this instance was asked to stop."""
+        return self._tools.shutdown.has_begun
 
     async def start(self) -> None:
         """Listen on the front address. Raises `AddressInUseError`."""
@@ -69,11 +73,13 @@
 
     async def stop(self) -> None:
         """Wait until clients have left, then until no request is in flight."""
-        self.draining = True
-        wait_ms = min(
+        shutdown = self._tools.shutdown
+        shutdown.begin()
+        leaving_ms = min(
             ADDRESS_TTL_FACTOR * self._settings.directory_ttl_ms,
             LEAVING_RATIO * self._gateway.grace_ms,
         )
+        wait_ms = max(0.0, leaving_ms - shutdown.elapsed_ms)
         _log.info("leaving", wait_ms=wait_ms)
         await self._clock.sleep_ms(wait_ms)
         self._listener.refuse_new()
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/request_relay.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/request_relay.py
@@ -29,7 +29,7 @@
     open_stream,
 )
 
-__all__ = ["PATHS_LOST_KIND", "RequestRelay"]
+__all__ = ["LEAVING_KIND", "PATHS_LOST_KIND", "RequestRelay"]
 
 CONNECT_TIMEOUT_MS = 200.0
 # Instances asked for one request. With two in three of them cut off, six of seven
@@ -37,8 +37,12 @@
 MAX_ASKED_COUNT = 5
 # Kind of the error by which an instance says that it can't reach servers either.
 PATHS_LOST_KIND = "paths-lost"
+# Kind of the error by which an instance says that it stops.
+LEAVING_KIND = "leaving"
 # Errors after which another instance is asked: they say nothing about the servers.
-ASK_ANOTHER_KINDS = frozenset((PATHS_LOST_KIND, "no-document", "no-route"))
+ASK_ANOTHER_KINDS = frozenset(
+    (LEAVING_KIND, PATHS_LOST_KIND, "no-document", "no-route")
+)
 
 _log = ComponentLog("front")
 
@@ -79,7 +83,8 @@
             kind, result = await self._ask(address)
             if kind not in ASK_ANOTHER_KINDS:
                 break
-            self._peers.mark_lost(address)
+            if kind != LEAVING_KIND:
+                self._peers.mark_lost(address)
         self._record(result)
         return result
 
--- a/packages/cardamomrun-gateway/tests/builders.py
+++ b/packages/cardamomrun-gateway/tests/builders.py
@@ -54,6 +54,7 @@
 from cardamomrun_gateway.server_attempt import AttemptDependencies
 from cardamomrun_gateway.server_connections import ServerConnections
 from cardamomrun_gateway.server_limits import ServerLimits
+from cardamomrun_gateway.shutdown import Shutdown
 from cardamomrun_gateway.table import RoutingTable
 from cardamomrun_requests.background import BackgroundTasks
 
@@ -265,6 +266,7 @@
             self.clock, NAMES, connections, self.reports, RouteTimes(), self.limits
         )
         placement = Placement(self.clock, self.load, "kelowna-a", 0.7, random.Random(1))
+        self.shutdown = Shutdown(self.clock, settings.grace_ms)
         self.front = GatewayFront(
             self.settings,
             self.clock,
@@ -279,6 +281,7 @@
                 self.paths,
                 self.peers,
                 BackgroundTasks(),
+                self.shutdown,
             ),
             connections,
         )
--- a/packages/cardamomrun-node/src/cardamomrun_node/gateway_node.py
+++ b/packages/cardamomrun-node/src/cardamomrun_node/gateway_node.py
@@ -25,6 +25,7 @@
 from cardamomrun_gateway.server_connections import ServerConnections
 from cardamomrun_gateway.server_limits import ServerLimits
 from cardamomrun_gateway.server_registry import ServerRegistry
+from cardamomrun_gateway.shutdown import Shutdown
 from cardamomrun_gateway.table import RoutingTable
 from cardamomrun_node.parts import PartLoop, cancel_task, run_with_restarts
 from cardamomrun_node.settings_watch import fields_needing_restart
@@ -67,6 +68,7 @@
         self._reports = LoadReports(
             settings, clock, self.fleet, self._load, self._budget
         )
+        self._shutdown = Shutdown(clock, self._gateway.grace_ms)
         self._front: GatewayFront | None = None
         self._stack = AsyncExitStack()
         if Role.CONTROL in settings.roles:
@@ -85,7 +87,7 @@
         """True while callers may be directed to this instance."""
         return (
             self._front is not None
-            and not self._front.draining
+            and not self._shutdown.has_begun
             and self.table.document is not None
         )
 
@@ -119,8 +121,13 @@
             from_next_start=deferred,
         )
 
+    def begin_stop(self) -> None:
+        """Begin the grace period, in which `stop` has to end."""
+        self._shutdown.begin()
+
     async def stop(self) -> None:
         """Leave the directory, finish requests in flight, and close everything."""
+        self.begin_stop()
         _log.info("leaves the directory and finishes requests in flight")
         self.fleet.set_phase(MemberPhase.LEAVING)
         await self._stack.aclose()
@@ -154,6 +161,7 @@
             self._paths,
             self._peers,
             BackgroundTasks(),
+            self._shutdown,
         )
         self._front = GatewayFront(settings, clock, self._headers, tools, connections)
         await self._front.start()
--- a/packages/cardamomrun-requests/src/cardamomrun_requests/client_listener.py
+++ b/packages/cardamomrun-requests/src/cardamomrun_requests/client_listener.py
@@ -47,9 +47,12 @@
 class ClientRequestHandler(Protocol):
     """Runs the requests that a `ClientListener` receives."""
 
-    draining: bool
     body_buffer_bytes: int
 
+    @property
+    def draining(self) -> bool:
+        """True once the instance leaves, so that responses end connections."""
+
     def request_id(self, headers: HTTPHeaders) -> str:
         """Return the id that identifies a request in logs and responses."""
 
