Let a stop wait for requests that begin while connections are closed

What callers would see: a request whose head had begun to arrive when the listener closed is read and passed on; if no other request was in flight then, the process exited FLUSH_TIMEOUT_S (5 s) later, in the middle of it.

Cause: a stop waited for the requests in flight once, then a limited time for connections, and a connection with unread bytes may begin a request in that time. Both fronts had it.

Change: the listener's wait_finished waits until both are at rest. A request that begins so late has still to end in the grace period (Shutdown).

Test: test_a_request_that_begins_while_connections_are_closed_is_finished fails without the change (the stop has returned while the request runs), passes with it.

--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/front.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/front.py
@@ -83,8 +83,7 @@
         _log.info("leaving", wait_ms=wait_ms)
         await self._clock.sleep_ms(wait_ms)
         self._listener.refuse_new()
-        await self._requests.wait()
-        await self._listener.wait_closed()
+        await self._listener.wait_finished(self._requests)
         for loop in self._loops:
             loop.cancel()
         self._connections.close()
--- a/packages/cardamomrun-gateway/tests/builders.py
+++ b/packages/cardamomrun-gateway/tests/builders.py
@@ -62,6 +62,7 @@
 WAIT_S = 5.0
 HOST = "rota.example"
 SERVICE = "rota-desk"
+GRACE_MS = 1_000
 
 
 class FakeStore(RecordStore):
@@ -227,7 +228,7 @@
         "peer_port": 2,
         "fleet": FleetSettings(trusts_network=True),
         "directory_ttl_ms": 100,
-        "gateway": GatewaySettings(grace_ms=1_000),
+        "gateway": GatewaySettings(grace_ms=GRACE_MS),
     }
     return NodeSettings(**(values | changes))
 
@@ -244,8 +245,10 @@
 class Gateway:
     """A gateway front and its parts, on loopback addresses."""
 
-    def __init__(self, content, bodies, name="e1"):
-        self.settings = gateway_settings(name, front_port=free_port())
+    def __init__(self, content, bodies, name="e1", grace_ms=GRACE_MS):
+        self.settings = gateway_settings(
+            name, front_port=free_port(), gateway=GatewaySettings(grace_ms=grace_ms)
+        )
         self.clock = OffsetClock()
         self.fleet = FakeFleet(name)
         self.store = self.fleet.store
@@ -310,13 +313,13 @@
 
 
 @contextlib.asynccontextmanager
-async def gateway(*servers, content=None):
+async def gateway(*servers, content=None, grace_ms=GRACE_MS):
     """Run a gateway front for scripted servers with the ids `b1`, `b2` and so on."""
     bodies = []
     for index, server in enumerate(servers):
         port = await server.start()
         bodies.append(server_body(f"b{index + 1}", address=f"127.0.0.1:{port}"))
-    running = Gateway(content or document(routes=ROUTES), bodies)
+    running = Gateway(content or document(routes=ROUTES), bodies, grace_ms=grace_ms)
     await running.front.start()
     try:
         yield running
--- a/packages/cardamomrun-gateway/tests/test_shutdown.py
+++ b/packages/cardamomrun-gateway/tests/test_shutdown.py
@@ -6,10 +6,10 @@
 import pytest
 
 from cardamomrun_base.routing_document import RouteKind
-from cardamomrun_base.settings import GatewaySettings
 from cardamomrun_bench.scripted_server import ScriptedServer, Step, parse_response
 
 from .builders import (
+    GRACE_MS,
     NAMES,
     ROUTES,
     document,
@@ -19,12 +19,11 @@
     request,
     response,
     route,
+    until,
 )
 from .test_lost_paths import lose_paths, pair
 
 SERVED = Step(response())
-# The clock of a gateway in tests has a grace period of 1 s.
-GRACE_MS = GatewaySettings(grace_ms=1_000).grace_ms
 
 
 def deadline(duration_ms):
@@ -180,6 +179,30 @@
     asyncio.run(main())
 
 
+def test_a_request_that_begins_while_connections_are_closed_is_finished(monkeypatch):
+    """Guards against a stop that waits for requests once and then cuts later ones."""
+    monkeypatch.setattr("cardamomrun_requests.client_listener.FLUSH_TIMEOUT_S", 0.1)
+
+    async def main():
+        release = asyncio.Event()
+        server = ScriptedServer([Step(response(), response_released=release)])
+        async with gateway(server, grace_ms=10_000) as running:
+            reader, writer = await running.connect()
+            data = request("POST", "/b/x", b"1")
+            writer.write(data[:10])
+            stop = asyncio.create_task(running.front.stop())
+            await asyncio.sleep(0.35)
+            writer.write(data[10:])
+            await until(lambda: server.heads)
+            await asyncio.sleep(0.2)
+            assert not stop.done()
+            release.set()
+            assert parse_response(await reader.read()).status == 200
+            await stop
+
+    asyncio.run(main())
+
+
 def test_a_second_signal_does_not_extend_the_grace_period():
     async def main():
         async with stopping(ScriptedServer([SERVED])) as running:
--- a/packages/cardamomrun-requests/src/cardamomrun_requests/background.py
+++ b/packages/cardamomrun-requests/src/cardamomrun_requests/background.py
@@ -24,6 +24,9 @@
         task.add_done_callback(self._on_done)
         return task
 
+    def __len__(self) -> int:
+        return len(self._tasks)
+
     async def wait(self) -> None:
         """Wait until all tasks have ended."""
         while self._tasks:
--- a/packages/cardamomrun-requests/src/cardamomrun_requests/client_listener.py
+++ b/packages/cardamomrun-requests/src/cardamomrun_requests/client_listener.py
@@ -26,6 +26,7 @@
 from cardamomrun_base.errors import AddressInUseError
 from cardamomrun_base.outcomes import NotRun
 from cardamomrun_base.settings import NodeSettings
+from cardamomrun_requests.background import BackgroundTasks
 from cardamomrun_requests.body_channel import BodyChannel
 from cardamomrun_requests.framing import body_length
 from cardamomrun_requests.reply import ResponseWriter
@@ -107,9 +108,17 @@
         self._server.stop()
         self._connections.close_idle()
 
-    async def wait_closed(self) -> None:
-        """Wait until all connections are closed, at most `FLUSH_TIMEOUT_S`."""
+    async def wait_finished(self, requests: BackgroundTasks) -> None:
+        """Wait until no request is in flight and all connections are closed.
+
+        Slow clients get at most `FLUSH_TIMEOUT_S` for the ends of their responses.
+        """
+        await requests.wait()
         await self._server.wait_closed(FLUSH_TIMEOUT_S)
+        # A head that had begun to arrive at `refuse_new` may have been completed since.
+        while requests:
+            await requests.wait()
+            await self._server.wait_closed(FLUSH_TIMEOUT_S)
 
 
 class _DrainableServer(HTTPServer):
--- a/packages/cardamomrun-requests/src/cardamomrun_requests/front_proxy.py
+++ b/packages/cardamomrun-requests/src/cardamomrun_requests/front_proxy.py
@@ -82,8 +82,7 @@
         _log.info("leaving", wait_ms=wait_ms)
         await self._clock.sleep_ms(wait_ms)
         self._listener.refuse_new()
-        await self._tasks.wait()
-        await self._listener.wait_closed()
+        await self._listener.wait_finished(self._tasks)
         if self._sweeper is not None:
             self._sweeper.cancel()
         self._services.pools.close()
