--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/front.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/front.py
@@ -81,6 +81,7 @@
         )
         wait_ms = max(0.0, leaving_ms - shutdown.elapsed_ms)
         _log.info("leaving", wait_ms=wait_ms)
+        self._loops.append(asyncio.create_task(self._log_unfinished()))
         await self._clock.sleep_ms(wait_ms)
         self._listener.refuse_new()
         await self._listener.wait_finished(self._requests)
@@ -113,9 +114,19 @@
         return self._requests.spawn(
             RequestDispatch(
                 self._tools, request, reply, self._settings.front_address
-            ).run()
+            ).run(),
+            name=request.request_id,
         )
 
+    async def _log_unfinished(self) -> None:
+        """Name the requests that may lose their responses to the end of the stop."""
+        await self._clock.sleep_ms(self._tools.shutdown.remaining_ms)
+        if self._requests:
+            _log.warning(
+                "requests are in flight at the end of the grace period",
+                request_ids=" ".join(self._requests.names),
+            )
+
     async def _sweep(self) -> None:
         while True:
             await self._clock.sleep_ms(SWEEP_MS)
--- a/packages/cardamomrun-gateway/tests/test_shutdown.py
+++ b/packages/cardamomrun-gateway/tests/test_shutdown.py
@@ -7,6 +7,7 @@
 
 from cardamomrun_base.routing_document import RouteKind
 from cardamomrun_bench.scripted_server import ScriptedServer, Step, parse_response
+from cardamomrun_gateway import front
 
 from .builders import (
     GRACE_MS,
@@ -203,6 +204,31 @@
     asyncio.run(main())
 
 
+def test_requests_that_outlast_the_stop_are_named_in_the_log(monkeypatch):
+    """Guards against lost responses that no log line accounts for."""
+    warnings = []
+    monkeypatch.setattr(
+        front._log, "warning", lambda text, **fields: warnings.append((text, fields))
+    )
+
+    async def main():
+        release = asyncio.Event()
+        server = ScriptedServer([Step(response(), response_released=release)])
+        async with gateway(server) as running:
+            call = asyncio.create_task(running.call("POST", "/b/x", b"1"))
+            await until(lambda: server.heads)
+            stop = asyncio.create_task(running.front.stop())
+            await until(lambda: warnings)
+            release.set()
+            assert (await call).status == 200
+            await stop
+        ((text, fields),) = warnings
+        assert text == "requests are in flight at the end of the grace period"
+        assert fields == {"request_ids": "id-1"}
+
+    asyncio.run(main())
+
+
 def test_a_second_signal_does_not_extend_the_grace_period():
     async def main():
         async with stopping(ScriptedServer([SERVED])) as running:
--- a/packages/cardamomrun-requests/src/cardamomrun_requests/background.py
+++ b/packages/cardamomrun-requests/src/cardamomrun_requests/background.py
@@ -17,13 +17,20 @@
     def __init__(self) -> None:
         self._tasks: set[asyncio.Task[Any]] = set()
 
-    def spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+    def spawn(
+        self, work: Coroutine[Any, Any, Any], name: str | None = None
+    ) -> asyncio.Task[Any]:
         """Start a task; an error that nobody awaits is logged."""
-        task = asyncio.create_task(work)
+        task = asyncio.create_task(work, name=name)
         self._tasks.add(task)
         task.add_done_callback(self._on_done)
         return task
 
+    @property
+    def names(self) -> list[str]:
+        """The names of the tasks that have not ended."""
+        return sorted(task.get_name() for task in self._tasks)
+
     def __len__(self) -> int:
         return len(self._tasks)
 
