Begin no attempt late in a stop that is not certain to end

A request from before the stop whose body came in slowly, or whose first attempt was refused by a server, could begin an attempt at any time in the stop if three times the mean of its route still fitted. One answer in a hundred takes longer than that on the users' sites (work of three times the mean), and a request whose last byte came later than 3 s after SIGTERM is not excused.

The time of the attempt decides now, not that of the request's arrival, for all attempts alike.

Test: an upload on a quick route, with its body complete 50 ms before the last moment, was passed on and is refused now (the case 30.0 of test_an_upload_that_arrives_until_the_end_of_the_stop_is_refused).

--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/shutdown.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/shutdown.py
@@ -8,7 +8,7 @@
 # Time before the end of the grace period in which no request may still be in flight: the
 # stop is noticed late on a busy instance, and clients have to get the ends of responses.
 RESERVE_MS = 500.0
-# In this first share of the grace period, requests are taken that will likely end in time;
+# In this first share of the grace period, attempts begin that will likely end in time;
 # later only those that are certain to.
 LIKELY_RATIO = 0.25
 
@@ -46,16 +46,16 @@
             self._begun_ms = self._clock.now_ms()
 
     def has_time_for(self, routed: RoutedRequest, likely_ms: float) -> bool:
-        """Return True if a request may be sent to a server now.
+        """Return True if an attempt of a request may begin now.
 
-        `likely_ms` is what its attempt will need at most, with rare exceptions. That
-        has to fit for requests from before the stop and from the beginning of it. A
-        later one must end in time even if it uses all of its time: its client loses
-        little by going to another instance at once, and has had time to learn of it.
+        Early in the stop it is enough that the `likely_ms`, which attempts rarely
+        exceed, fit into what is left. Later the request must end in time even if it
+        uses all of its time: by then clients have had time to learn of the stop, and
+        one that comes anyway loses little by going to another instance at once.
         """
         if self._begun_ms is None:
             return True
         needed_ms = routed.remaining_ms(self._clock)
-        if routed.arrived_ms < self._begun_ms + LIKELY_RATIO * self._grace_ms:
+        if self.elapsed_ms < LIKELY_RATIO * self._grace_ms:
             needed_ms = min(needed_ms, likely_ms)
         return needed_ms <= self.remaining_ms
--- a/packages/cardamomrun-gateway/tests/test_shutdown.py
+++ b/packages/cardamomrun-gateway/tests/test_shutdown.py
@@ -140,12 +140,14 @@
     asyncio.run(main())
 
 
-def test_an_upload_that_arrives_until_the_end_of_the_stop_is_refused():
-    """Guards against a slow body that begins an attempt after the last moment."""
+@pytest.mark.parametrize("objective_ms", [1_000.0, 30.0])
+def test_an_upload_that_arrives_until_the_end_of_the_stop_is_refused(objective_ms):
+    """Guards against a slow body that begins an attempt when little time is left."""
+    routes = [route("/c/", RouteKind.UPLOAD, objective_ms=objective_ms)]
 
     async def main():
         server = ScriptedServer([SERVED])
-        async with gateway(server) as running:
+        async with gateway(server, content=document(routes=routes)) as running:
             reader, writer = await running.connect()
             writer.write(request("POST", "/c/x", content_length="2") + b"1")
             await asyncio.sleep(0.05)
