Obey servers that say that they leave or ask for a pause

From the head of the response on, whatever its status, an instance begins nothing more at a server that leaves, for that incarnation and without end; idle connections to it are closed, and a choice made before a wait, a connection or a pause of the process is checked again before anything is sent. After 503 with Retry-After it sends nothing until the pause is over (the longest counts; only a newer start ends it), then one request, and the rest once that was answered. The return is spread by instance over a quarter of the pause, never early. Neither counts as a failure; a 503 without Retry-After, or with 0, is judged as before. If all servers of a service pause, a request is refused at once with the end of the first pause, at most 60 s, and clients return one after the other.

Other entry instances are told by a datagram of a new kind. They avoid the server while the others suffice for the floor. Both instances of a relayed request count: the one that sends names the server in a header of the hop, which an older one drops, since it is named in Connection.

--- a/packages/cardamomrun-base/src/cardamomrun_base/headers.py
+++ b/packages/cardamomrun-base/src/cardamomrun_base/headers.py
@@ -10,10 +10,13 @@
 INSTANCE = "Cardamomrun-Instance"
 NOT_RUN = "Cardamomrun-Not-Run"
 RATE_LIMIT = "Cardamomrun-Rate-Limit"
+LEAVING = "Cardamomrun-Leaving"
 # On a request that an instance asks another one to serve: the address of the client, and
 # the front address of the instance.
 RELAYED_FOR = "Cardamomrun-Relayed-For"
 RELAYED_BY = "Cardamomrun-Relayed-By"
+# On the response to such a request: the id and incarnation of the server that responded.
+RELAYED_SERVER = "Cardamomrun-Relayed-Server"
 CUSTOMER = "Cardamomrun-Customer"
 IDEMPOTENCY_KEY = "Idempotency-Key"
 RETRY_AFTER = "Retry-After"
@@ -30,7 +33,8 @@
     A backend server echoes `request_id` and doesn't run a request if `expected_server`
     names another server. It sets `not_run` on a response if it did not run the request
     and, where `success_proof` is configured, sets that on each response of its own. In
-    `rate_limit` it states how many requests a second it accepts from all instances.
+    `rate_limit` it states how many requests a second it accepts from all instances, and
+    with `leaving` that it leaves and wants no more requests.
     """
 
     request_id: str = REQUEST_ID
@@ -38,4 +42,5 @@
     expected_server: str = "Cardamomrun-Expected-Server"
     not_run: str = NOT_RUN
     rate_limit: str = RATE_LIMIT
+    leaving: str = LEAVING
     success_proof: str | None = None
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/dispatch.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/dispatch.py
@@ -14,7 +14,7 @@
 from cardamomrun_base.routing_document import RoutingRoute
 from cardamomrun_gateway import metrics
 from cardamomrun_gateway.crash_guard import CrashGuard, RequestIdentity
-from cardamomrun_gateway.fleet_load import FleetLoad
+from cardamomrun_gateway.fleet_load import FleetLoad, Server
 from cardamomrun_gateway.paths import OwnPaths, PeerPaths
 from cardamomrun_gateway.permits import Permit, Permits
 from cardamomrun_gateway.placement import (
@@ -58,6 +58,8 @@
 RETRY_SOON_S = 0.2
 # Retry-After of a request that crashed servers; it stays refused for minutes.
 RETRY_AFTER_CRASHES_S = 60.0
+# Longest Retry-After while all servers pause; others may start meanwhile.
+RETRY_AFTER_PAUSE_S = 60.0
 # Retry-After of an instance that has just started; it has the document from its peers
 # by then.
 RETRY_AFTER_START_S = 0.3
@@ -120,6 +122,7 @@
         self._identity: RequestIdentity | None = None
         self._own_address = own_address
         self._relay: RequestRelay | None = None
+        self._responder: Server | None = None
         asked_by = request.headers.get(names.RELAYED_BY)
         # Only instances of the fleet may say for whom they ask.
         self._is_relayed = asked_by is not None and tools.peers.is_member(
@@ -292,6 +295,7 @@
             self._clock,
             self._tools.attempt_tools.header_names,
             self._tools.peers,
+            self._tools.attempt_tools.notices,
             self._own_address,
             routed,
         )
@@ -311,6 +315,7 @@
                 result = task.result()
                 if isinstance(result, ServerResponse):
                     self._running[task] = attempt
+                    self._responder = attempt.server
                     return result
                 self._record_failure(attempt, result)
             if not self._running:
@@ -354,6 +359,7 @@
         self._last_failure = result
         if isinstance(result, ResponseLost):
             self._may_have_run = True
+            self._responder = attempt.server
             if result.has_connection_ended:
                 self._check_server(attempt)
         elif not attempt.may_have_run:
@@ -521,7 +527,7 @@
                         criteria.max_wait_ms,
                         is_urgent=criteria.is_urgent,
                     )
-                    if permit is None or not self._tools.load.is_current(choice.server):
+                    if permit is None or not self._may_use(choice.server):
                         continue
                 waited_ms = self._clock.now_ms() - waiting_since_ms
                 metrics.ADDED_SECONDS.labels(self._service).observe(
@@ -529,12 +535,24 @@
                 )
                 return choice, permit
             waited_ms = limit_ms - left_ms
+            pause_wait_ms = self._tools.placement.pause_wait_ms(criteria)
+            if pause_wait_ms is not None and pause_wait_ms > left_ms:
+                raise self._paused_error(routed, waited_ms, pause_wait_ms)
             permit_wait_ms = self._tools.placement.permit_wait_ms(criteria)
             if permit_wait_ms is not None and permit_wait_ms > left_ms:
                 raise self._no_permit_error(routed, waited_ms)
             if waited_ms >= limit_ms:
                 raise self._no_room_error(routed, waited_ms)
-            await self._tools.load.wait_changed(limit_ms - waited_ms)
+            wait_ms = limit_ms - waited_ms
+            if pause_wait_ms is not None:
+                wait_ms = min(wait_ms, pause_wait_ms)
+            await self._tools.load.wait_changed(wait_ms)
+
+    def _may_use(self, server: Server) -> bool:
+        """Return True if a server chosen before a wait still takes requests."""
+        return self._tools.load.is_current(server) and server.wants_request(
+            self._clock.now_ms()
+        )
 
     def _no_room_error(
         self, routed: RoutedRequest, waited_ms: float
@@ -548,6 +566,30 @@
             expected_ms * RETRY_AFTER_RATIO / MS_PER_S,
         )
 
+    def _paused_error(
+        self, routed: RoutedRequest, waited_ms: float, pause_wait_ms: float
+    ) -> _RequestFailedError:
+        """Return the refusal of a request whose servers have all asked for a pause.
+
+        Clients are told to return one after the other from the end of the first pause.
+        """
+        self._log_no_room(routed, waited_ms)
+        metrics.REFUSALS.labels(self._service, "paused").inc()
+        return_times = self._tools.return_times.setdefault(
+            f"{self._service} after pauses", ReturnTimes(random.Random())
+        )
+        expected_ms = self._tools.attempt_tools.route_times.expected_ms(routed.route)
+        slots = self._tools.placement.slot_count(self._service)
+        entry_count = self._tools.attempt_tools.reports.entry_count
+        delay_ms = return_times.next_delay_ms(
+            self._clock.now_ms() + pause_wait_ms,
+            slots * MS_PER_S / expected_ms / entry_count,
+            routed.remaining_ms(self._clock) - pause_wait_ms,
+        )
+        reason = "All backend servers have asked for a pause."
+        retry_after_s = (pause_wait_ms + delay_ms) / MS_PER_S
+        return _refusal("paused", reason, min(RETRY_AFTER_PAUSE_S, retry_after_s))
+
     def _no_permit_error(
         self, routed: RoutedRequest, waited_ms: float
     ) -> _RequestFailedError:
@@ -568,6 +610,7 @@
 
     def _log_no_room(self, routed: RoutedRequest, waited_ms: float) -> None:
         servers = list(self._tools.load.servers_of(self._service))
+        now_ms = self._clock.now_ms()
         _log.info(
             "refuses a request: no backend server has room",
             request_id=self._request.request_id,
@@ -578,6 +621,7 @@
             doubted=sum(server.health.is_suspected for server in servers),
             in_work=sum(server.in_flight_count for server in servers),
             limited=sum(server.limit is not None for server in servers),
+            paused=sum(not server.pause.is_over(now_ms) for server in servers),
         )
 
     def _failure_error(
@@ -613,6 +657,8 @@
         headers = HTTPHeaders(response.headers)
         if response.body_rest is None:
             self._declare_length(headers, response)
+        if self._is_relayed:
+            self._name_server()
         line = response.start_line
         await self._reply.start(line.code, line.reason, headers, "done")
         if response.body_start:
@@ -623,6 +669,14 @@
                 break
             await self._reply.write(chunk)
 
+    def _name_server(self) -> None:
+        """Tell the instance that asked which server has responded."""
+        if self._responder is not None:
+            body = self._responder.body
+            self._reply.hop_headers[names.RELAYED_SERVER] = (
+                f"{body.server_id}/{body.incarnation}"
+            )
+
     def _declare_length(self, headers: HTTPHeaders, response: ServerResponse) -> None:
         if has_no_body(self._request.method, response.start_line.code):
             return
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/fleet_load.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/fleet_load.py
@@ -32,6 +32,8 @@
     AttemptEnd,
     ServerHealth,
 )
+from cardamomrun_gateway.server_pause import ServerPause
+from cardamomrun_gateway.table import GOLDEN_RATIO
 
 __all__ = ["FleetLoad", "Server"]
 
@@ -58,13 +60,18 @@
 # each failure up to the maximum.
 PATH_BLOCK_FIRST_MS = 1_000.0
 PATH_BLOCK_MAX_MS = 5_000.0
+# Runs of servers that this instance remembers as left, the latest ones.
+RETIRED_COUNT = 10_000
 
 _log = ComponentLog("load")
 
 
 @dataclass
 class Server:
-    """A backend server in one incarnation, with its load and health."""
+    """A backend server in one incarnation, with its load and health.
+
+    `avoided_until_ms` is what other instances tell of a pause or a departure.
+    """
 
     body: RoutedServerBody
     key: int
@@ -76,6 +83,8 @@
     blocked_until_ms: float = float("-inf")
     block_ms: float = PATH_BLOCK_FIRST_MS
     limit: StatedLimit | None = None
+    avoided_until_ms: float = float("-inf")
+    pause: ServerPause = field(default_factory=ServerPause)
 
     @property
     def in_flight_count(self) -> int:
@@ -87,6 +96,14 @@
         """True while all slots are in use."""
         return self.in_flight_count >= self.body.slots
 
+    def is_avoided(self, now_ms: float) -> bool:
+        """Return True while others say that the server leaves or pauses."""
+        return now_ms < self.avoided_until_ms
+
+    def wants_request(self, now_ms: float) -> bool:
+        """Return False while the server pauses or is tried after a pause."""
+        return self.pause.allows_request(now_ms, self.own_count)
+
     def is_warming_up(self, now_ms: float) -> bool:
         """Return True while the server is slow after its start."""
         return now_ms - self.known_since_ms < self.body.warm_up_ms
@@ -150,6 +167,7 @@
         self._by_service: dict[str, dict[ServerId, Server]] = {}
         self._relays: dict[int, _Relay] = {}
         self._new_servers: list[str] = []
+        self._retired: dict[ServerId, int] = {}
         self._relay_by_instance: dict[int, int] = {}
         self._last_seen_ms: dict[int, float] = {}
         self._service_means_ms: dict[str, float] = {}
@@ -175,6 +193,30 @@
         """Return False once a server has left or has a newer incarnation."""
         return self._by_id.get(server.body.server_id) is server
 
+    def retire(self, server: Server) -> bool:
+        """Stop the use of a server that says that it leaves, for this incarnation.
+
+        Later announcements of it don't count. Returns False if that was known.
+        """
+        body = server.body
+        if self._retired.get(body.server_id, -1) >= body.incarnation:
+            return False
+        self._retired.pop(body.server_id, None)
+        self._retired[body.server_id] = body.incarnation
+        if len(self._retired) > RETIRED_COUNT:
+            del self._retired[next(iter(self._retired))]
+        if self.is_current(server):
+            self._remove(server)
+            self._notify()
+        return True
+
+    def spread_ratio(self, server: Server) -> float:
+        """Return a number from 0 to 1 that differs by instance and server.
+
+        Instances use it to return to a server one after the other.
+        """
+        return ((self.own_key ^ server.key) * GOLDEN_RATIO) % 1.0
+
     def last_seen_ms(self, instance_id: InstanceId) -> float | None:
         """Return when a relay last included a report of an instance; None if never."""
         return self._last_seen_ms.get(instance_key(instance_id))
@@ -232,6 +274,7 @@
             self._paths.record_failure(server.key, len(self._by_id))
         elif end in RESPONSE_ENDS:
             self._paths.record_response(started_ms)
+            server.pause.record_response(started_ms)
         if end is AttemptEnd.GOOD:
             server.block_ms = PATH_BLOCK_FIRST_MS
         elif end is AttemptEnd.UNREACHABLE:
@@ -452,7 +495,10 @@
     def _on_record(self, record: Record) -> None:
         body: RoutedServerBody = record.content
         current = self._by_id.get(body.server_id)
-        is_serving = body.phase is BackendPhase.SERVING
+        is_serving = (
+            body.phase is BackendPhase.SERVING
+            and body.incarnation > self._retired.get(body.server_id, -1)
+        )
         if current is not None and is_serving and _same_run(current.body, body):
             current.body = body
             return
@@ -471,6 +517,7 @@
                 self._remove(other)
         key = _server_key(body)
         server = Server(body, key, self._clock.now_ms())
+        server.pause.spread_ratio = self.spread_ratio(server)
         self._by_id[body.server_id] = server
         self._by_key[key] = server
         self._by_service.setdefault(body.service, {})[body.server_id] = server
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/metrics.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/metrics.py
@@ -14,6 +14,7 @@
     "RELAYED",
     "REQUESTS",
     "REQUEST_SECONDS",
+    "SERVER_NOTICES",
 ]
 
 REQUESTS = Counter(
@@ -51,6 +52,11 @@
     "Checks of backend servers that gave no response, by what they showed.",
     ("service", "finding"),
 )
+SERVER_NOTICES = Counter(
+    "cardamomrun_routed_server_notices",
+    "Notices that a backend server leaves or pauses, from its response or from others.",
+    ("service", "notice", "told_by"),
+)
 LIMITED_ATTEMPTS = Counter(
     "cardamomrun_routed_limited_attempts",
     "Attempts at backend servers that state a limit for all instances together.",
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/placement.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/placement.py
@@ -10,7 +10,6 @@
 from cardamomrun_base.model import ServerId
 from cardamomrun_gateway.fleet_load import FleetLoad, Server
 from cardamomrun_gateway.server_health import TRIAL_FIRST_MS
-from cardamomrun_gateway.table import GOLDEN_RATIO
 
 __all__ = ["Choice", "ChoiceReason", "Placement", "PlacementCriteria"]
 
@@ -129,7 +128,9 @@
             for server in self._load.servers_of(criteria.service)
             if server.body.server_id not in criteria.excluded
             and server.blocked_until_ms <= now_ms
+            and server.wants_request(now_ms)
         ]
+        servers = self._without_avoided(servers, now_ms)
         known_count = len(servers)
         trusted_count = sum(not server.health.is_suspected for server in servers)
         servers = [s for s in servers if _may_ask(s, criteria, now_ms)]
@@ -174,9 +175,21 @@
             )
         return None
 
+    def _without_avoided(self, servers: list[Server], now_ms: float) -> list[Server]:
+        """Leave out servers that leave or pause by the word of others.
+
+        If too few are left for the floor, returns all.
+        """
+        kept = [server for server in servers if not server.is_avoided(now_ms)]
+        if len(kept) == len(servers):
+            return servers
+        trusted_count = sum(not server.health.is_suspected for server in kept)
+        if trusted_count < math.ceil(len(servers) * self._floor_ratio):
+            return servers
+        return kept
+
     def _is_shedding(self, server: Server, now_ms: float) -> bool:
-        spread_ratio = ((self._load.own_key ^ server.key) * GOLDEN_RATIO) % 1.0
-        return server.health.is_shedding(now_ms, spread_ratio)
+        return server.health.is_shedding(now_ms, self._load.spread_ratio(server))
 
     def _unused_server(self, trusted: list[Server], now_ms: float) -> Server | None:
         """Return a server of the own domain that no instance has used yet, if any.
@@ -204,6 +217,7 @@
             for server in self._load.servers_of(criteria.service)
             if server.body.server_id not in criteria.excluded
             and not server.health.is_suspected
+            and server.wants_request(now_ms)
         ]
         waits_ms = [
             limit.wait_ms(now_ms, is_urgent=criteria.is_urgent)
@@ -214,6 +228,23 @@
             return None
         return min(waits_ms)
 
+    def pause_wait_ms(self, criteria: PlacementCriteria) -> float | None:
+        """Return the time until the first pause is over; None unless all servers pause.
+
+        Excluded servers only count if there are no others.
+        """
+        now_ms = self._clock.now_ms()
+        servers = list(self._load.servers_of(criteria.service))
+        usable = [s for s in servers if s.body.server_id not in criteria.excluded]
+        pauses = [server.pause for server in usable or servers]
+        if not pauses or any(pause.is_over(now_ms) for pause in pauses):
+            return None
+        return min(pause.wait_ms(now_ms) for pause in pauses)
+
+    def slot_count(self, service: str) -> int:
+        """Return the slots of all servers of a service."""
+        return sum(server.body.slots for server in self._load.servers_of(service))
+
     def granted_per_s(self, service: str) -> float:
         """Return the sum of what servers that state a limit take from the fleet."""
         return sum(
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/request_relay.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/request_relay.py
@@ -18,8 +18,8 @@
     Result,
     ServerResponse,
     drain,
-    parse_retry_after,
 )
+from cardamomrun_gateway.server_notices import ServerNotices, parse_retry_after
 from cardamomrun_requests.sending import send_until_head
 from cardamomrun_requests.upstream import (
     ConnectError,
@@ -60,12 +60,14 @@
         clock: Clock,
         header_names: GatewayHeaders,
         peers: PeerPaths,
+        notices: ServerNotices,
         own_address: str,
         routed: RoutedRequest,
     ) -> None:
         self._clock = clock
         self._header_names = header_names
         self._peers = peers
+        self._notices = notices
         self._own_address = own_address
         self._routed = routed
         self.may_have_run = False
@@ -146,6 +148,7 @@
         tag = headers.get(names.OUTCOME)
         if tag == Done.tag:
             self._peers.mark_serving(address)
+            self._record_departure(headers)
             return "", ServerResponse(start_line, headers, b"", answer.body)
         kind = _error_kind(await drain(answer))
         if tag == NotRun.tag:
@@ -154,6 +157,11 @@
             return kind, NotExecuted(reason, parse_retry_after(headers))
         return "", ResponseLost(f"another instance responded with {start_line.code}")
 
+    def _record_departure(self, headers: HTTPHeaders) -> None:
+        server_id, _, incarnation = headers.get(names.RELAYED_SERVER, "").partition("/")
+        if incarnation.isdecimal():
+            self._notices.record_relayed_response(server_id, int(incarnation), headers)
+
 
 def _error_kind(body: bytes) -> str:
     try:
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_attempt.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_attempt.py
@@ -1,7 +1,6 @@
 """One attempt to run a request on one backend server."""
 
 import asyncio
-import math
 from contextlib import suppress
 from dataclasses import dataclass, field
 
@@ -11,7 +10,7 @@
 from cardamomrun_base.headers import GatewayHeaders
 from cardamomrun_base.logs import ComponentLog
 from cardamomrun_gateway import metrics
-from cardamomrun_gateway.fleet_load import Server
+from cardamomrun_gateway.fleet_load import FleetLoad, Server
 from cardamomrun_gateway.load_reports import LoadReports
 from cardamomrun_gateway.permits import Permit
 from cardamomrun_gateway.routed_request import RoutedRequest, RouteTimes
@@ -21,6 +20,7 @@
 )
 from cardamomrun_gateway.server_health import AttemptEnd
 from cardamomrun_gateway.server_limits import ServerLimits, parse_limit
+from cardamomrun_gateway.server_notices import ServerNotices, parse_retry_after
 from cardamomrun_requests.body_channel import BodyChannel, IncompleteBodyError
 from cardamomrun_requests.framing import has_no_body
 from cardamomrun_requests.sending import send_until_head
@@ -40,7 +40,6 @@
     "ServerAttempt",
     "ServerResponse",
     "drain",
-    "parse_retry_after",
 ]
 
 # Responses up to this size are buffered, so that another attempt can replace one that
@@ -110,6 +109,8 @@
     reports: LoadReports
     route_times: RouteTimes
     limits: ServerLimits
+    load: FleetLoad
+    notices: ServerNotices
 
 
 @dataclass
@@ -191,6 +192,10 @@
             return NotExecuted("the server cannot be reached")
         if self._tools.clock.now_ms() - self.started_ms > CHOICE_LIFETIME_MS:
             return NotExecuted("the process was paused after it chose the server")
+        if not self._tools.load.is_current(self.server):
+            return NotExecuted("the server has left")
+        if not self.server.pause.is_over(self._tools.clock.now_ms()):
+            return NotExecuted("the server has asked for a pause")
         if self._permit is not None and self._permit.has_expired(self._tools.clock):
             return NotExecuted("the permit for the server's limit has expired")
         return await self._exchange(self._connection)
@@ -234,6 +239,9 @@
         headers: HTTPHeaders,
     ) -> Result:
         self._outcome.headers = headers
+        has_paused = self._tools.notices.record_response(
+            self.server, start_line.code, headers
+        )
         header_names = self._tools.header_names
         if header_names.not_run in headers or start_line.code == STATUS_MISDIRECTED:
             self.may_have_run = False
@@ -247,6 +255,8 @@
             )
         loss = self._classify_head(start_line, headers)
         if loss is not None:
+            if has_paused:
+                self._outcome.end = AttemptEnd.SHED
             return loss
         try:
             body_start, body_rest = await self._buffer_body(answer, start_line)
@@ -327,12 +337,3 @@
                     break
                 body += chunk
     return bytes(body)
-
-
-def parse_retry_after(headers: HTTPHeaders) -> float | None:
-    """Return the seconds of a Retry-After header, or None without a valid one."""
-    try:
-        retry_after_s = float(headers["Retry-After"])
-    except (KeyError, ValueError):
-        return None
-    return max(0.0, retry_after_s) if math.isfinite(retry_after_s) else None
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_connections.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_connections.py
@@ -78,6 +78,11 @@
         idle = _IdleConnection(connection, self._clock.now_ms(), limit_ms)
         self._idle.setdefault(server.key, []).append(idle)
 
+    def close_idle(self, server: Server) -> None:
+        """Close the idle connections to a server."""
+        for idle in self._idle.pop(server.key, ()):
+            idle.connection.close()
+
     def sweep(self) -> None:
         """Close connections that were idle for too long or that ended."""
         now_ms = self._clock.now_ms()
--- a/packages/cardamomrun-gateway/tests/load_play.py
+++ b/packages/cardamomrun-gateway/tests/load_play.py
@@ -52,6 +52,11 @@
     lossy_server_ratio: float = 0.0
     shedding_server_ratio: float = 0.0
     shed_ratio: float = 0.6
+    pausing_server_ratio: float = 0.0
+    pause_ms: float = 4_000.0
+    pause_interval_ms: float = 8_000.0
+    reads_pauses: bool = True
+    tells_pauses: bool = True
     lost_response_ratio: float = 0.0
     report_delay_ms: float = 12.0
     remote_factor: float = 1.0
@@ -74,6 +79,10 @@
     retry_count: int = 0
     shed_count: int = 0
     run_twice_count: int = 0
+    # First attempts that a pausing server refused, and the attempts of one instance at
+    # one server from 0.2 s after it had been asked for the pause, by pause.
+    refused_first_count: int = 0
+    late_in_pause: dict = field(default_factory=dict)
     latencies_ms: list = field(default_factory=list)
     lost_by_kind: dict = field(default_factory=lambda: {True: 0, False: 0})
 
@@ -91,6 +100,10 @@
         self.faulty_by_interval = {}
         self.is_shedding = rng.random() < settings.shedding_server_ratio
         self.loses_responses = rng.random() < settings.lossy_server_ratio
+        is_pausing = settings.pausing_server_ratio
+        self.is_pausing = bool(is_pausing) and rng.random() < is_pausing
+        self.pause_offset_ms = self.offset_ms % settings.pause_interval_ms
+        self.asked_ms = {}
 
     def is_faulty(self, now_ms):
         interval = int((now_ms + self.offset_ms) // self.settings.fault_interval_ms)
@@ -100,6 +113,13 @@
             )
         return self.faulty_by_interval[interval]
 
+    def pause(self, now_ms):
+        """Return the number of the pause at this time, and what is left of it."""
+        interval_ms = self.settings.pause_interval_ms
+        number, at_ms = divmod(now_ms + self.pause_offset_ms, interval_ms)
+        left_ms = self.settings.pause_ms - at_ms if self.is_pausing else 0.0
+        return number, max(0.0, left_ms)
+
 
 class _Instance:
     def __init__(self, name, domain, clock, bodies, rng):
@@ -230,6 +250,10 @@
         ):
             end = (request, server, token, started_ms, AttemptEnd.RESET)
             self.at(now_ms + RESET_MS, self._end, *end)
+        elif server_model.pause(now_ms)[1]:
+            self._refuse_for_pause(server_model, request, server, now_ms)
+            end = (request, server, token, started_ms, AttemptEnd.SHED)
+            self.at(now_ms + RESET_MS, self._end, *end)
         elif server_model.is_shedding and self.rng.random() < self.settings.shed_ratio:
             end = (request, server, token, started_ms, AttemptEnd.SHED)
             self.at(now_ms + RESET_MS, self._end, *end)
@@ -241,6 +265,27 @@
             end = (request, server, token, started_ms, AttemptEnd.SHED)
             self.at(now_ms + RESET_MS, self._end, *end)
 
+    def _refuse_for_pause(self, server_model, request, server, now_ms):
+        number, left_ms = server_model.pause(now_ms)
+        self.counts.refused_first_count += request.sent_count == 1
+        key = (request.instance.name, server.body.server_id, number)
+        asked_ms = server_model.asked_ms.setdefault(key, now_ms)
+        if now_ms - asked_ms > 200:
+            late = self.counts.late_in_pause
+            late[key] = late.get(key, 0) + 1
+        if self.settings.reads_pauses:
+            server.pause.ask(now_ms + RESET_MS, left_ms)
+            if self.settings.tells_pauses and not server.is_avoided(now_ms):
+                for other in self.instances:
+                    self.at(
+                        now_ms + RESET_MS + HOP_MS,
+                        self._hear_of_pause, other, server.key, now_ms + left_ms,
+                    )  # fmt: skip
+
+    def _hear_of_pause(self, instance, server_key, until_ms):
+        server = instance.load.by_key(server_key)
+        server.avoided_until_ms = max(server.avoided_until_ms, until_ms)
+
     def _start_work(self, server_model, request, server, token, started_ms):
         server_model.running += 1
         work_ms = self.rng.lognormvariate(0, 0.45) * self.settings.work_ms * 0.9
--- a/packages/cardamomrun-gateway/tests/test_placement.py
+++ b/packages/cardamomrun-gateway/tests/test_placement.py
@@ -295,3 +295,25 @@
 def test_a_service_that_sheds_everywhere_is_used_as_before():
     counts = simulate(faulty_ratio=0.0, shedding_server_ratio=1.0, duration_ms=10_000.0)
     assert counts.served_ratio >= 0.99
+
+
+@pytest.mark.parametrize(
+    ("instance_count", "server_count", "rate_per_s"),
+    [(44, 28, 87.0), (125, 107, 330.0)],
+)
+def test_servers_that_pause_are_left_alone_and_lose_no_request(
+    instance_count, server_count, rate_per_s
+):
+    """Guards against requests to servers that are known to refuse them."""
+    counts = simulate(
+        instance_count=instance_count,
+        server_count=server_count,
+        rate_per_s=rate_per_s,
+        faulty_ratio=0.0,
+        pausing_server_ratio=0.33,
+        duration_ms=10_000.0,
+        seed=21,
+    )
+    assert counts.served_ratio > 0.99
+    assert counts.refused_count == 0
+    assert not counts.late_in_pause
--- a/packages/cardamomrun-node/src/cardamomrun_node/gateway_node.py
+++ b/packages/cardamomrun-node/src/cardamomrun_node/gateway_node.py
@@ -24,6 +24,7 @@
 from cardamomrun_gateway.server_attempt import AttemptDependencies
 from cardamomrun_gateway.server_connections import ServerConnections
 from cardamomrun_gateway.server_limits import ServerLimits
+from cardamomrun_gateway.server_notices import ServerNotices
 from cardamomrun_gateway.server_registry import ServerRegistry
 from cardamomrun_gateway.shutdown import Shutdown
 from cardamomrun_gateway.table import RoutingTable
@@ -145,7 +146,16 @@
         connections = ServerConnections(self._gateway, clock, load)
         limits = ServerLimits(clock, self.fleet, load)
         attempt_tools = AttemptDependencies(
-            clock, self._headers, connections, self._reports, RouteTimes(), limits
+            clock,
+            self._headers,
+            connections,
+            self._reports,
+            RouteTimes(),
+            limits,
+            load,
+            ServerNotices(
+                clock, self._headers, self.fleet, load, connections, self._reports
+            ),
         )
         placement = Placement(
             clock, load, settings.failure_domain, self._gateway.floor_ratio
--- a/packages/cardamomrun-requests/src/cardamomrun_requests/reply.py
+++ b/packages/cardamomrun-requests/src/cardamomrun_requests/reply.py
@@ -34,6 +34,8 @@
         self.started = False
         self.draining = False
         self.outcome_tag = "none"
+        # Sent to the next hop only, so named in the Connection header.
+        self.hop_headers: dict[str, str] = {}
         self._connection = connection
         self._request = request
         self._instance_id = instance_id
@@ -64,6 +66,10 @@
         if not self._request.body.ended or self._close_delimited or self.draining:
             self.close_after()
             fields["Connection"] = "close"
+        if self.hop_headers:
+            fields["Connection"] = ", ".join(("close", *self.hop_headers))
+            for name, value in self.hop_headers.items():
+                fields[name] = value
         if self._close_delimited:
             await self._connection.write(_encode_head(start_line, fields))
         else:
