Let servers of the soak leave and pause, and check that instances obey

Servers say Server-Leaving from the start of their departure, some of them up to 4 s before they announce it, and some ask for pauses. The ledger checks both rules with their bounds as written: nothing reaches a server from an instance that was sent later than 2 s after the instance had passed on its word, and at most two requests from 0.5 s after the answer to the end of a pause; a start or a pause of the instance excuses.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -12,13 +12,22 @@
 from .machines import Instance, Instances
 from .servers import ServerMode, StandInServer
 
-__all__ = ["Fault", "FaultInjector", "draw_faults", "draw_limits", "draw_series"]
+__all__ = [
+    "Fault",
+    "FaultInjector",
+    "draw_faults",
+    "draw_limits",
+    "draw_notices",
+    "draw_series",
+]
 
 KINDS = (
     "pause", "kill", "term", "hup", "wipe", "sick", "sick", "silence", "reset", "depart",
     "herd",
 )  # fmt: skip
 PLANNED_KINDS = ("term", "term", "again", "hup", "depart")
+# Planned too, and drawn apart.
+APART_KINDS = ("limit", "roll", "rest", "leave")
 FAULTY_MODES = tuple(mode for mode in ServerMode if mode is not ServerMode.HEALTHY)
 # The grace time of 6 s, pauses that overlap it, and a slow start on a loaded machine.
 STOP_LIMIT_S = 12.0
@@ -82,6 +91,20 @@
     ]
 
 
+def draw_notices(seed: int, duration_s: float) -> list[Fault]:
+    """Return when servers ask for pauses, and when some say early that they leave."""
+    rng = random.Random(f"notices of {seed}")
+    return [
+        Fault(
+            rng.choice(("rest", "rest", "leave")),
+            rng.uniform(0.5, duration_s),
+            rng.uniform(1.0, 4.0),
+            rng.randrange(1_000_000),
+        )
+        for _ in range(rng.choice((1, 2, 3)))
+    ]
+
+
 class FaultInjector:
     """Injects faults into the processes and connections of one run."""
 
@@ -107,7 +130,7 @@
         await asyncio.sleep(fault.at_s)
         start_s = time.monotonic()
         await getattr(self, f"_{fault.kind}")(fault)
-        if fault.kind not in (*PLANNED_KINDS, "limit", "roll"):
+        if fault.kind not in (*PLANNED_KINDS, *APART_KINDS):
             self._ledger.unplanned_s.append((start_s, time.monotonic()))
 
     async def heal(self) -> None:
@@ -117,8 +140,12 @@
         for instance in self._instances.all:
             if instance.is_paused:
                 instance.signal(signal.SIGCONT)
-            if not instance.is_running:
-                instance.start()
+            self._start(instance)
+
+    def _start(self, instance: Instance) -> None:
+        if not instance.is_running:
+            self._ledger.record_restart(instance.ip)
+            instance.start()
 
     def _selected_instance(self, fault: Fault) -> Instance:
         return self._instances.all[fault.selector % len(self._instances.all)]
@@ -130,8 +157,10 @@
         instance = self._selected_instance(fault)
         self._ledger.record_fault(f"pauses {instance.ip} for {fault.length_s:.1f} s")
         instance.signal(signal.SIGSTOP)
+        self._ledger.record_restart(instance.ip)
         await asyncio.sleep(fault.length_s)
         instance.signal(signal.SIGCONT)
+        self._ledger.record_restart(instance.ip)
 
     async def _kill(self, fault: Fault) -> None:
         await self._restart([self._selected_instance(fault)], fault)
@@ -148,8 +177,7 @@
             instance.kill()
         await asyncio.sleep(fault.length_s)
         for instance in instances:
-            if not instance.is_running:
-                instance.start()
+            self._start(instance)
 
     async def _wipe(self, fault: Fault) -> None:
         # Three control instances tolerate the loss of one disk.
@@ -162,8 +190,7 @@
         instance.kill()
         instance.delete_data()
         await asyncio.sleep(fault.length_s)
-        if not instance.is_running:
-            instance.start()
+        self._start(instance)
 
     async def _term(self, fault: Fault) -> None:
         await self._stop(self._selected_instance(fault), is_killed=fault.selector % 2)
@@ -214,8 +241,7 @@
                     )
                 instance.kill()
             await asyncio.sleep(0.01)
-        if not instance.is_running:
-            instance.start()
+        self._start(instance)
 
     async def _hup(self, fault: Fault) -> None:
         instance = self._selected_instance(fault)
@@ -246,6 +272,25 @@
         server.limit_per_s = None
         self._ledger.limited_arrivals_s.pop(server.server_id, None)
 
+    async def _rest(self, fault: Fault) -> None:
+        """Let a backend server ask for a pause of `length_s`."""
+        server = self._selected_server(fault)
+        self._ledger.record_fault(
+            f"{server.server_id} asks for pauses of {fault.length_s:.1f} s"
+        )
+        server.pause_says_not_run = bool(fault.selector % 2)
+        server.pause_until_s = time.monotonic() + fault.length_s
+        await asyncio.sleep(fault.length_s)
+
+    async def _leave(self, fault: Fault) -> None:
+        """Let a backend server say in its answers that it leaves, and announce it later."""
+        server = self._selected_server(fault)
+        self._ledger.record_fault(f"{server.server_id} says that it leaves")
+        await self._add_server()
+        server.is_leaving = True
+        await asyncio.sleep(fault.length_s)
+        server.start_draining()
+
     async def _silence(self, fault: Fault) -> None:
         """Drop data on the open connections of a backend server."""
         server = self._selected_server(fault)
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -11,6 +11,13 @@
 # A server gets no new work later than this after its departure was acknowledged; the
 # guarantee is 2 s, and the rest allows for a loaded machine.
 DRAIN_S = 2.5
+# An instance that has passed on an answer with the word that its server leaves sends that
+# server nothing that was sent to it later than this afterwards.
+LEAVE_S = 2.0
+# From `PAUSE_SETTLE_S` after a server asked an instance for a pause to its end, at most
+# `PAUSE_COUNT` requests of the instance reach it.
+PAUSE_SETTLE_S = 0.5
+PAUSE_COUNT = 2
 # From `LIMIT_SETTLE_S` after a server first named a limit, it gets at most one and a
 # half times what that allows and `LIMIT_SLACK_COUNT` requests in any `LIMIT_WINDOW_S`.
 LIMIT_SETTLE_S = 3.0
@@ -69,6 +76,10 @@
         default_factory=lambda: defaultdict(list)
     )
     run_ends_s: dict[str, float] = field(default_factory=dict)
+    sent_to: dict[str, tuple[str, float]] = field(default_factory=dict)
+    left_s: dict[tuple[str, str], float] = field(default_factory=dict)
+    pauses_s: dict[tuple[str, str], tuple[float, float]] = field(default_factory=dict)
+    in_pause: Counter[tuple[str, str]] = field(default_factory=Counter)
     lost: list[LostRequest] = field(default_factory=list)
     stops_s: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
     unplanned_s: list[tuple[float, float]] = field(default_factory=list)
@@ -94,6 +105,7 @@
             self._append_violation(
                 f"{request_id} ran after its answer {self.statuses[request_id]}"
             )
+        self._check_leaving(request_id, server_id)
         departed_s = self.departed_s.get(server_id, now_s)
         if now_s - departed_s > DRAIN_S:
             late_s = now_s - departed_s
@@ -101,6 +113,42 @@
                 f"{server_id} got {request_id} {late_s:.2f} s after its departure"
             )
 
+    def record_restart(self, entry_ip: str) -> None:
+        """Forget what an instance knew, since it was started or paused."""
+        for known in (self.left_s, self.pauses_s):
+            for key in [key for key in known if key[0] == entry_ip]:
+                del known[key]
+
+    def record_leaving(self, request_id: str, server_id: str) -> None:
+        """Record that a caller got an answer that says that its server leaves."""
+        entry_ip = self.sent_to[request_id][0]
+        self.left_s.setdefault((entry_ip, server_id), time.monotonic())
+
+    def record_pause(self, request_id: str, server_id: str, end_s: float) -> None:
+        """Record a request to a server that pauses, and check that there are few."""
+        now_s = time.monotonic()
+        key = (self.sent_to[request_id][0], server_id)
+        asked_s, known_end_s = self.pauses_s.get(key, (now_s, 0.0))
+        if known_end_s != end_s:
+            self.pauses_s[key] = (now_s, end_s)
+            self.in_pause[key] = 0
+        elif now_s > asked_s + PAUSE_SETTLE_S:
+            self.in_pause[key] += 1
+            if self.in_pause[key] > PAUSE_COUNT:
+                self._append_violation(
+                    f"{server_id} got {request_id} in the pause that it had asked of "
+                    f"{key[0]} {now_s - asked_s:.2f} s before"
+                )
+
+    def _check_leaving(self, request_id: str, server_id: str) -> None:
+        entry_ip, sent_s = self.sent_to.get(request_id, ("", 0.0))
+        left_s = self.left_s.get((entry_ip, server_id))
+        if left_s is not None and sent_s > left_s + LEAVE_S:
+            self._append_violation(
+                f"{server_id} got {request_id}, sent {sent_s - left_s:.2f} s after "
+                f"{entry_ip} had passed on that it leaves"
+            )
+
     def record_run_end(self, request_id: str) -> None:
         """Record that a server has done the work of a request."""
         self.run_ends_s[request_id] = time.monotonic()
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -20,7 +20,7 @@
 from cardamomrun_bench.caller import ClientError, PooledClient
 
 from ..adapter.builders import manifest, route_fields
-from .faults import FaultInjector, draw_faults, draw_limits, draw_series
+from .faults import FaultInjector, draw_faults, draw_limits, draw_notices, draw_series
 from .ledger import Ledger, LostRequest, SentRequest
 from .machines import FRONT_PORT, READY_PORT, Instances
 from .servers import StandInServer
@@ -104,6 +104,7 @@
         )
         faults += draw_limits(options.seed, options.duration_s)
         faults += draw_series(options.seed, options.duration_s)
+        faults += draw_notices(options.seed, options.duration_s)
         await asyncio.gather(*(injector.inject(fault) for fault in faults))
         await injector.heal()
         await self._check_recovery()
@@ -306,6 +307,8 @@
     ) -> int:
         """Send a request, record what comes of it, and return the status."""
         self.ledger.sent[request_id] = sent
+        entry_ip = address.rpartition(":")[0]
+        self.ledger.sent_to[request_id] = (entry_ip, time.monotonic())
         headers = {
             "Host": HOST,
             "Cardamomrun-Attempt-Id": request_id,
@@ -320,11 +323,12 @@
             self.ledger.caller_errors[str(error)] += 1
             ended_s = time.monotonic()
             if error.sent and ended_s - sent_s < deadline_ms / 1_000:
-                entry_ip = address.rpartition(":")[0]
                 self.ledger.lost.append(
                     LostRequest(request_id, entry_ip, sent_s, ended_s)
                 )
             raise
+        if answer.headers.get("Server-Leaving") is not None:
+            self.ledger.record_leaving(request_id, answer.headers["Soak-Server"])
         echo = answer.headers.get("Cardamomrun-Attempt-Id", "")
         self.ledger.record_answer(request_id, answer.status, answer.body, echo)
         return answer.status
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -50,6 +50,11 @@
         self.mode = ServerMode.HEALTHY
         # Requests a second that the server takes from all instances, if it names a limit.
         self.limit_per_s: float | None = None
+        # The end of the pause that the server asks for, and whether its refusals say
+        # that the request was not run.
+        self.pause_until_s = 0.0
+        self.pause_says_not_run = True
+        self.is_leaving = False
         self.relay: Relay | None = None
         self._host = host
         self._ledger = ledger
@@ -74,6 +79,7 @@
 
     def start_draining(self) -> None:
         """Announce that the server drains, and stop announcing `LINGER_S` later."""
+        self.is_leaving = True
         self._state = "draining"
         self._drain_started.set()
 
@@ -150,12 +156,18 @@
         if server.limit_per_s is not None:
             self.set_header("Server-Limit", str(server.limit_per_s))
             self._ledger.record_limited_arrival(server.server_id, server.limit_per_s)
+        if server.is_leaving:
+            self.set_header("Server-Leaving", "1")
+        self.set_header("Soak-Server", server.server_id)
         mode = server.mode
         request_id = headers.get("Cardamomrun-Attempt-Id", "")
         self.set_header("Cardamomrun-Attempt-Id", request_id)
         if headers.get("Cardamomrun-Expect-Instance") != server.server_id:
             self._refuse(421)
             return
+        if time.monotonic() < server.pause_until_s:
+            self._ask_for_pause(request_id)
+            return
         if mode is ServerMode.REFUSES:
             self._refuse(503)
             return
@@ -189,6 +201,17 @@
             return self._server.draw_service_time_s()
         return float(work_ms) / 1_000
 
+    def _ask_for_pause(self, request_id: str) -> None:
+        server = self._server
+        end_s = server.pause_until_s
+        self._ledger.record_pause(request_id, server.server_id, end_s)
+        self.set_status(503)
+        self.set_header("Retry-After", f"{end_s - time.monotonic():.3f}")
+        if server.pause_says_not_run:
+            self.set_header("Cardamomrun-Not-Executed", "1")
+        else:
+            self.set_header("Cardamomrun-Response-Seal", "seal")
+
     def _refuse(self, status: int) -> None:
         self.set_status(status)
         self.set_header("Cardamomrun-Not-Executed", "1")
