Frame long bodies of unknown length for every method

Cause: the head went to the server with neither Content-Length nor Transfer-Encoding. tornado's client connection frames such a body as chunks for POST, PUT and PATCH only, and nothing else did for other methods. Bodies up to 1 MiB get a length.

Change: UpstreamConnection frames them itself where tornado does not. The front for environments refuses such bodies with 411, which stays.

--- a/packages/cardamomrun-gateway/tests/test_dispatch.py
+++ b/packages/cardamomrun-gateway/tests/test_dispatch.py
@@ -6,6 +6,7 @@
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
 from cardamomrun_bench.scripted_server import ScriptedServer, Step, parse_response
+from cardamomrun_gateway.front import MAX_BUFFERED_BODY_BYTES
 from cardamomrun_gateway.server_health import AttemptEnd
 
 from .builders import (
@@ -98,6 +99,26 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize("method", ["DELETE", "GET", "OPTIONS", "POST"])
+def test_a_long_body_in_chunks_reaches_the_server_framed(method):
+    """Guards against a body that the server takes for requests (review/1, UNASKED)."""
+    smuggled = request("POST", "/b/smuggled", attempt_id="id-2", content_length="0")
+    body = smuggled + b"x" * (MAX_BUFFERED_BODY_BYTES + 400_000)
+
+    async def main():
+        server = ScriptedServer([SERVED])
+        async with gateway(server) as running:
+            parts = [body[i : i + 65_536] for i in range(0, len(body), 65_536)]
+            chunks = b"".join(b"%x\r\n%b\r\n" % (len(p), p) for p in parts)
+            head = request(method, "/c/x", transfer_encoding="chunked")
+            received = parse_response(await running.raw(head + chunks + b"0\r\n\r\n"))
+            assert received.status == 200
+            assert server.bodies == [body]
+            assert len(server.heads) == 1
+
+    asyncio.run(main())
+
+
 def test_a_refused_connection_loses_no_request():
     """Guards against a request that fails although no byte of it was sent."""
 
--- a/packages/cardamomrun-requests/src/cardamomrun_requests/upstream.py
+++ b/packages/cardamomrun-requests/src/cardamomrun_requests/upstream.py
@@ -47,6 +47,9 @@
 MAX_SKIPPED_RESPONSE_COUNT = 16
 MAX_SKIPPED_BODY_BYTES = 1_048_576
 
+# tornado frames a body of unknown length as chunks for these methods only.
+TORNADO_CHUNKED_METHODS = frozenset(("POST", "PUT", "PATCH"))
+LAST_CHUNK = b"0\r\n\r\n"
 _HTTP_PARAMETERS = HTTP1ConnectionParameters(
     chunk_size=CHUNK_BYTES,
     max_header_size=MAX_HEAD_BYTES,
@@ -194,6 +197,7 @@
         self._http: HTTP1Connection | None = None
         self._reader: asyncio.Task[None] | None = None
         self._request_finished = False
+        self._encodes_chunks = False
         # True once a response on this connection echoed the request's identity.
         self._expects_echo = False
 
@@ -220,19 +224,25 @@
         self.response = UpstreamResponse(
             method, self._stream, identity, requires_echo=self._expects_echo
         )
+        is_chunked = bool(chunk) and "Content-Length" not in headers
+        self._encodes_chunks = is_chunked and method not in TORNADO_CHUNKED_METHODS
+        if self._encodes_chunks:
+            headers["Transfer-Encoding"] = "chunked"
         start_line = RequestStartLine(method, target, "HTTP/1.1")
-        self._http.write_headers(start_line, headers, chunk or None)
+        self._http.write_headers(start_line, headers, self._encode(chunk) or None)
         self._reader = asyncio.create_task(self._read(self._http, self.response))
         return self.response
 
     async def write(self, chunk: bytes) -> None:
         """Send a chunk; returns when it has left the write buffer."""
         assert self._http is not None
-        await self._http.write(chunk)
+        await self._http.write(self._encode(chunk))
 
     def finish_request(self) -> None:
         """Mark the request as sent completely."""
         assert self._http is not None
+        if self._encodes_chunks:
+            self._http.write(LAST_CHUNK)
         self._http.finish()
         self._request_finished = True
 
@@ -264,6 +274,12 @@
         if self.response is not None:
             self.response.body.discard()
 
+    def _encode(self, chunk: bytes) -> bytes:
+        """Return the chunk as it is sent to the server."""
+        if not self._encodes_chunks or not chunk:
+            return chunk
+        return b"%x\r\n%b\r\n" % (len(chunk), chunk)
+
     async def _read(self, http: HTTP1Connection, response: UpstreamResponse) -> None:
         try:
             await http.read_response(response)
