Refuse check-ins that can't be those of the server that they name

Cause: check-ins were accepted by the fields that are used. `version` was not looked at, a missing `warmup_left_ms` counted as 0, and the registry let a known start of a server change its service.

--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_registry.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_registry.py
@@ -4,7 +4,7 @@
 from typing import TYPE_CHECKING
 
 from cardamomrun_base.clock import Clock
-from cardamomrun_base.errors import UnavailableError
+from cardamomrun_base.errors import CardamomrunError, UnavailableError
 from cardamomrun_base.interfaces import Fleet
 from cardamomrun_base.logs import ComponentLog
 from cardamomrun_base.model import (
@@ -18,7 +18,7 @@
 if TYPE_CHECKING:
     from cardamomrun_control.routing_service import RoutingControl
 
-__all__ = ["RoutedAnnouncement", "ServerRegistry"]
+__all__ = ["AnnouncementError", "RoutedAnnouncement", "ServerRegistry"]
 
 # A server without contact to control may still serve, and instances track its health by
 # its responses; its record is dropped after this long without an announcement.
@@ -34,6 +34,12 @@
 _log = ComponentLog("registry")
 
 
+class AnnouncementError(CardamomrunError):
+    """An announcement contradicts what is known of the server."""
+
+    kind = "announcement"
+
+
 @dataclass(frozen=True)
 class RoutedAnnouncement:
     """What a backend server announces about itself; a higher `sequence` is newer.
@@ -71,9 +77,14 @@
         """Publish a server that is new or has changed, or retire one that drains.
 
         Raises `UnavailableError` if the server drains and no majority has stored that,
-        or if it is new and this instance has lost contact to the others.
+        or if it is new and this instance has lost contact to the others. Raises
+        `AnnouncementError` if the server is known in this incarnation as one of another
+        service: a run of a server doesn't change its service.
         """
         server_id = announcement.server_id
+        current = self._fleet.store.get(RecordKind.ROUTED_SERVER, server_id)
+        if current is not None:
+            _check_service(announcement, current.content)
         self._last_announced_ms[server_id] = self._clock.now_ms()
         if announcement.is_draining:
             await self._control.retire(
@@ -82,7 +93,6 @@
             return
         if self._control.is_retired(server_id, announcement.incarnation):
             return
-        current = self._fleet.store.get(RecordKind.ROUTED_SERVER, server_id)
         version = (announcement.incarnation, _counter(announcement))
         if current is not None and current.version >= version:
             return
@@ -178,6 +188,19 @@
         )
 
 
+def _check_service(announcement: RoutedAnnouncement, known: RoutedServerBody) -> None:
+    # Without a stated start, incarnations can't be told apart.
+    if (
+        announcement.incarnation == known.incarnation != 0
+        and announcement.service != known.service
+    ):
+        raise AnnouncementError(
+            f"{announcement.server_id} is announced as a server of "
+            f"{announcement.service}, but serves {known.service} since its start.",
+            remedy="announce it with its service, or with the time of its new start",
+        )
+
+
 def _counter(announcement: RoutedAnnouncement) -> int:
     # The odd numbers are for records of servers that were dropped (see `_drop`).
     return 2 * announcement.sequence
--- a/packages/cardamomrun-gateway/tests/test_server_registry.py
+++ b/packages/cardamomrun-gateway/tests/test_server_registry.py
@@ -8,6 +8,7 @@
 from cardamomrun_base.model import BackendPhase, RecordKind
 from cardamomrun_gateway.server_registry import (
     SILENT_MS,
+    AnnouncementError,
     RoutedAnnouncement,
     ServerRegistry,
 )
@@ -87,6 +88,19 @@
     assert fixture.record().version == version
 
 
+@pytest.mark.parametrize("is_draining", [False, True])
+def test_a_run_of_a_server_does_not_change_its_service(is_draining):
+    """Guards against requests of one service at a server of another (ROUTE)."""
+    fixture = RegistryFixture()
+    fixture.announce()
+    with pytest.raises(AnnouncementError):
+        fixture.announce(sequence=90, service="other", is_draining=is_draining)
+    assert fixture.record().content.service == SERVICE
+    assert not fixture.control.retired
+    fixture.announce(incarnation=200, sequence=1, service="other")
+    assert fixture.record().content.service == "other"
+
+
 def test_draining_needs_a_majority():
     """Guards against an acknowledgement by an instance without contact to others."""
     fixture = RegistryFixture()
--- a/tests/adapter/test_check_ins.py
+++ b/tests/adapter/test_check_ins.py
@@ -29,6 +29,16 @@
 
 
 REFUSED = {
+    "no version": check_in(version=None),
+    "version of another type": check_in(version=1),
+    "no zone": check_in(zone=None),
+    "no slots": check_in(slots=None),
+    "no state": check_in(state=None),
+    "no warm-up": check_in(warmup_left_ms=None),
+    "warm-up of another type": check_in(warmup_left_ms="0"),
+    "warm-up that is negative": check_in(warmup_left_ms=-1),
+    "warm-up without end": check_in(warmup_left_ms=float("inf")),
+    "warm-up that is no number": check_in(warmup_left_ms=float("nan")),
     "no service": check_in(service=None),
     "service of another type": check_in(service=5),
     "no address": check_in(address=None),
