Reproduce FLOOR: most sound servers of a service get no requests

The played load now records which servers get requests, and the share of sound servers that do in each sliding window of 2 s.

--- a/packages/cardamomrun-gateway/tests/load_play.py
+++ b/packages/cardamomrun-gateway/tests/load_play.py
@@ -27,6 +27,10 @@
 RESET_MS = 1.0
 FLOOR_RATIO = 0.7
 OVERDUE_FACTOR = 3.0
+# Window in which sound servers should get requests, and how long ago their last fault
+# must have ended.
+REACHED_WINDOW_MS = 2_000
+SOUND_AFTER_MS = 2_000
 
 
 @dataclass(frozen=True)
@@ -85,6 +89,8 @@
     late_in_pause: dict = field(default_factory=dict)
     latencies_ms: list = field(default_factory=list)
     lost_by_kind: dict = field(default_factory=lambda: {True: 0, False: 0})
+    # Share of the sound servers that got a request, by window.
+    reached_ratios: list = field(default_factory=list)
 
     @property
     def served_ratio(self):
@@ -166,6 +172,7 @@
         self.events = []
         self.order = itertools.count()
         self.counts = ClientCounts()
+        self.arrivals = []
         domains = [f"zone-{i}" for i in range(settings.domain_count)]
         bodies = [
             server_body(
@@ -201,8 +208,30 @@
             time_ms, _, action, args = heapq.heappop(self.events)
             self.clock.advance_ms(max(0.0, time_ms - self.clock.now_ms()))
             action(*args)
+        self.counts.reached_ratios = self._reached_ratios()
         return self.counts
 
+    def _reached_ratios(self):
+        last_ms = int(self.settings.duration_ms) - REACHED_WINDOW_MS
+        return [
+            self._reached_ratio(start_ms, start_ms + REACHED_WINDOW_MS)
+            for start_ms in range(SOUND_AFTER_MS, last_ms + 1, REACHED_WINDOW_MS // 2)
+        ]
+
+    def _reached_ratio(self, start_ms, end_ms):
+        times_ms = range(start_ms - SOUND_AFTER_MS, end_ms + 1, 100)
+        sound = {
+            server_id
+            for server_id, server in self.servers.items()
+            if not any(server.is_faulty(time_ms) for time_ms in times_ms)
+        }
+        reached = {
+            server_id
+            for time_ms, server_id in self.arrivals
+            if start_ms <= time_ms < end_ms
+        }
+        return len(reached & sound) / max(1, len(sound))
+
     def _arrive(self):
         self.counts.request_count += 1
         now_ms = self.clock.now_ms()
@@ -244,6 +273,7 @@
     def _arrive_at_server(self, request, server, token, started_ms):
         server_model = self.servers[server.body.server_id]
         now_ms = self.clock.now_ms()
+        self.arrivals.append((now_ms, server.body.server_id))
         if (
             server_model.is_faulty(now_ms)
             and self.rng.random() < self.settings.reset_ratio
--- a/packages/cardamomrun-gateway/tests/test_placement.py
+++ b/packages/cardamomrun-gateway/tests/test_placement.py
@@ -9,7 +9,7 @@
 from cardamomrun_gateway.server_health import AttemptEnd
 
 from .builders import FakeStore, criteria, server_body, server_record
-from .load_play import simulate
+from .load_play import FLOOR_RATIO, simulate
 
 
 class PlacementFixture:
@@ -317,3 +317,24 @@
     assert counts.served_ratio > 0.99
     assert counts.refused_count == 0
     assert not counts.late_in_pause
+
+
+@pytest.mark.parametrize("faulty_ratio", [0.0, 0.3])
+@pytest.mark.parametrize("idempotent_ratio", [0.0, 0.3])
+def test_requests_do_not_leave_most_sound_servers_idle(idempotent_ratio, faulty_ratio):
+    """Guards against requests that stay with the servers that accepted one lately."""
+    counts = simulate(
+        instance_count=105,
+        server_count=56,
+        slots=6,
+        rate_per_s=85.0,
+        idempotent_ratio=idempotent_ratio,
+        has_idempotent_traffic=idempotent_ratio > 0,
+        work_ms=570.0,
+        faulty_ratio=faulty_ratio,
+        reset_ratio=0.75,
+        fault_interval_ms=12_000.0,
+        duration_ms=16_000.0,
+        seed=41,
+    )
+    assert min(counts.reached_ratios) >= FLOOR_RATIO
