Reproduce refusals for a retry budget that no server's arrivals spent

An attempt after one that only failed to connect is counted as a retry and needs budget, although the server before it got no request: the limit that clients set is on arrivals beyond a request's first.

The test fails: 503 instead of 200.

--- a/packages/cardamomrun-gateway/tests/test_dispatch.py
+++ b/packages/cardamomrun-gateway/tests/test_dispatch.py
@@ -393,6 +393,23 @@
     asyncio.run(main())
 
 
+def test_a_failed_connection_needs_no_retry_budget():
+    """Guards against refusals because the budget went to servers that got no request."""
+
+    async def main():
+        gone, good = ScriptedServer([SERVED]), ScriptedServer([SERVED])
+        async with gateway(gone, good) as running:
+            gone.stop()
+            running.load.attempt_started(running.load.get("b2"))
+            for _ in range(100):
+                running.reports.count_retry(SERVICE)
+            received = await running.call("POST", "/b/x", b"body")
+            assert received.status == 200
+            assert len(good.heads) == 1
+
+    asyncio.run(main())
+
+
 def test_a_refusal_for_full_servers_has_a_retry_after():
     async def main():
         server = ScriptedServer([SERVED])
