Answer that there is no route only from a document that control confirms

Cause: an entry instance had a document and nothing that told it how old its knowledge of it was. Documents reach it by floods, which are best effort, and by exchanges with peers that may have missed the same flood; whoever acknowledges a document does not learn who has it. So after a restart of all instances an old document was answered from as if it were the one in force, for as long as no exchange happened to repair it.

Change: each entry instance asks a control instance for the number of the newest document, twice a second, by a datagram. Control answers from the leader's state and the time at which a majority last confirmed the leader; other control instances ask the leader, for all who ask within 200 ms. A confirmation counts from the moment of the question and lapses after 2 s, the time in which a change has to be in force. A document known to be newer that does not arrive within 400 ms is fetched by a request. Without a current document, 'no route' is answered 503, not run. A starting instance opens its front once its document was confirmed, at the latest after 1 s. Positive answers go on while control is unreachable: the document in force stays in force.

Ruled out: floods that are slow in normal operation.

Weighed: a record that control floods each second (takes the path that failed); a number in every load report (older builds could not read the reports, and a datagram that was late on its way would count as new; a question has a time of its own); asking only when a route is not found (unknown paths come from the internet in any number).

Older builds: a control instance without this does not answer, and an entry instance that asks it confirms nothing: it serves all its routes and answers 503 instead of 404. Older entry instances don't ask.

--- a/packages/cardamomrun-base/src/cardamomrun_base/messages.py
+++ b/packages/cardamomrun-base/src/cardamomrun_base/messages.py
@@ -10,6 +10,8 @@
     "ClaimAnswer",
     "ClaimRequest",
     "ClaimUpdate",
+    "ConfirmedNumber",
+    "DocumentRequest",
     "Report",
     "ReportAnswer",
     "Acknowledgement",
@@ -104,3 +106,23 @@
     attempt_id: str
     state: str
     status: int = 0
+
+
+@message("control-newest-number-answer")
+@dataclass(frozen=True)
+class ConfirmedNumber:
+    """The number of the newest routing document `age_ms` ago; -1 if there was none."""
+
+    number: int
+    age_ms: float
+
+
+@message("control-document-request")
+@dataclass(frozen=True)
+class DocumentRequest:
+    """Asks a control instance for the record of its routing document.
+
+    It refuses to answer if it has none with this number or a higher one.
+    """
+
+    number: int
--- a/packages/cardamomrun-control/src/cardamomrun_control/proposals.py
+++ b/packages/cardamomrun-control/src/cardamomrun_control/proposals.py
@@ -65,6 +65,17 @@
                 remedy="ask another control instance, or restore the majority",
             ) from error
 
+    def state_confirmed_ms(self) -> float | None:
+        """Return until when, monotonic ms, the state includes all that was committed.
+
+        None unless this replica leads and a majority has confirmed that.
+        """
+        read_index = max(self._commit_index, self._term_start_index)
+        if not self.is_leader or self._applied_index < read_index:
+            return None
+        confirmed_ms = self._majority_acknowledged_ms()
+        return None if confirmed_ms == float("-inf") else confirmed_ms
+
     def _is_confirmed(self, term: int, called_ms: float, read_index: int) -> bool:
         if not self.is_leader or self.term != term:
             raise self._not_leader_error()
--- a/packages/cardamomrun-control/src/cardamomrun_control/routing_service.py
+++ b/packages/cardamomrun-control/src/cardamomrun_control/routing_service.py
@@ -33,6 +33,7 @@
 from cardamomrun_base.settings import NodeSettings
 from cardamomrun_control.agreement import Agreement
 from cardamomrun_control.metrics import export_metrics
+from cardamomrun_control.newest_number import ROUTING_KEY, NewestNumber
 from cardamomrun_control.routing_state import (
     RETIRED_COUNT,
     PutRouting,
@@ -48,7 +49,6 @@
 
 __all__ = ["ROUTING_KEY", "RoutingControl", "retirement_counter"]
 
-ROUTING_KEY = "routing"
 ROUND_MS = 200
 # Clients of the control interface wait one second for an instance, so the leader must
 # have responded to a forwarded command within it.
@@ -101,6 +101,7 @@
 
     `put`, `retire` and `read` work on every control instance: they are forwarded to
     the leader, and raise `UnavailableError` unless a majority confirmed the result.
+    `newest` tells which document is the newest.
     """
 
     def __init__(self, settings: NodeSettings, clock: Clock, fleet: Fleet) -> None:
@@ -114,6 +115,7 @@
             settings, clock, fleet, self._durable_log, self._state
         )
         self.agreement.on_commit = self._on_commit
+        self.newest = NewestNumber(clock, fleet, self.agreement, self._state)
         self._voter_keeper = VoterKeeper(settings, clock, fleet, self.agreement)
         self._commit_event = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
--- a/packages/cardamomrun-control/tests/test_routing_service.py
+++ b/packages/cardamomrun-control/tests/test_routing_service.py
@@ -4,6 +4,7 @@
 
 from cardamomrun_base.errors import DocumentError, UnavailableError
 from cardamomrun_base.model import BackendPhase, Record, RecordKind, RoutedServerBody
+from cardamomrun_control.newest_number import SHARED_MS
 from cardamomrun_control.routing_service import ROUTING_KEY
 
 from .builders import RoutingCluster, real_time, retry, routing, until
@@ -244,3 +245,48 @@
             await instance.start()
         leader = await cluster.wait_for_leader()
         assert (await retry(leader.control.read)).source == b"kept"
+
+
+@real_time
+async def test_every_control_instance_names_the_newest_document(tmp_path):
+    async with RoutingCluster(tmp_path, **FAST_SETTINGS) as cluster:
+        await cluster.wait_for_leader()
+        await retry(lambda: follower(cluster).control.put(routing(3), "op"))
+        for instance in cluster.running():
+            # What was confirmed before the change was put counts until it is too old.
+            await asyncio.sleep(SHARED_MS / 1_000)
+            newest = await retry(instance.control.newest.get)
+            assert newest.number == 3
+
+
+@real_time
+async def test_no_number_is_confirmed_before_a_majority_confirms_the_leader(tmp_path):
+    """Guards against an old document that is taken as the newest after a restart."""
+    async with RoutingCluster(tmp_path, **FAST_SETTINGS) as cluster:
+        leader = await cluster.wait_for_leader()
+        await retry(lambda: leader.control.put(routing(3), "op"))
+        for instance in cluster.running():
+            await instance.crash()
+        # Without the others, this instance can't know what they have acknowledged.
+        alone = cluster.instances[leader.name]
+        await alone.start()
+        with pytest.raises(UnavailableError):
+            await alone.control.newest.get()
+        for name, instance in cluster.instances.items():
+            if name != alone.name:
+                await instance.start()
+        newest = await retry(alone.control.newest.get)
+        assert newest.number == 3
+
+
+@real_time
+async def test_a_number_is_as_old_as_the_last_word_of_the_majority(tmp_path):
+    """Guards against a leader that is cut off and confirms what it knows as the newest."""
+    async with RoutingCluster(tmp_path, **FAST_SETTINGS) as cluster:
+        leader = await cluster.wait_for_leader()
+        await retry(lambda: leader.control.put(routing(3), "op"))
+        cluster.network.isolate(leader.name)
+        cut_ms = leader.control._clock.now_ms()
+        await asyncio.sleep(0.2)
+        newest = await leader.control.newest.get()
+        assert newest.age_ms >= leader.control._clock.now_ms() - cut_ms - 50
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/dispatch.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/dispatch.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from tornado.httputil import HTTPHeaders
@@ -63,6 +64,9 @@
 # Retry-After of an instance that has just started; it has the document from its peers
 # by then.
 RETRY_AFTER_START_S = 0.3
+# Retry-After of a request without a route while a newer document may have one. Another
+# instance may know; where control is unreachable, none does.
+RETRY_AFTER_UNCONFIRMED_S = 0.5
 # Time after the deadline for a response that a server sent at the deadline.
 DEADLINE_GRACE_MS = 40.0
 # Limit for the attempts of one request that no server ran; the attempt count of the
@@ -86,6 +90,7 @@
     peers: PeerPaths
     background: BackgroundTasks
     shutdown: Shutdown
+    has_newest_document: Callable[[], bool]
     return_times: dict[str, ReturnTimes] = field(default_factory=dict)
 
 
@@ -192,10 +197,7 @@
         host = request.headers.get("Host", "")
         route = self._tools.table.match(host, request.path)
         if route is None:
-            outcome = NotRun(
-                "No route has this host and path.", "add a route to the document", 404
-            )
-            raise _RequestFailedError("no-route", outcome)
+            raise self._no_route_error()
         request.body.max_bytes = document.limits.body_bytes
         self._service = self._tools.table.choose_service(route)
         if not self._is_relayed:
@@ -205,6 +207,18 @@
             request, route, self._service, document.number, arrived_ms, deadline_ms
         )
 
+    def _no_route_error(self) -> _RequestFailedError:
+        if not self._tools.has_newest_document():
+            return _refusal(
+                "document-unconfirmed",
+                "No route has this host and path; a newer document may have one.",
+                RETRY_AFTER_UNCONFIRMED_S,
+            )
+        outcome = NotRun(
+            "No route has this host and path.", "add a route to the document", 404
+        )
+        return _RequestFailedError("no-route", outcome)
+
     def _check_crashes(self) -> None:
         self._identity = RequestIdentity.of(self._request, self._client)
         if self._is_blocked():
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/metrics.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/metrics.py
@@ -7,6 +7,8 @@
     "ATTEMPTS",
     "CONNECTIONS",
     "CRASH_CHECKS",
+    "DOCUMENT_FETCHES",
+    "DOCUMENT_IS_CURRENT",
     "LIMITED_ATTEMPTS",
     "PATHS_LOST",
     "PERMITS",
@@ -76,3 +78,12 @@
     "Requests that this instance asked another one to serve, by result.",
     ("service", "result"),
 )
+DOCUMENT_IS_CURRENT = Gauge(
+    "cardamomrun_routed_document_is_current",
+    "1 while control confirms that this instance has the newest document, else 0.",
+)
+DOCUMENT_FETCHES = Counter(
+    "cardamomrun_routed_document_fetches",
+    "Documents fetched from control since they did not arrive by themselves, by result.",
+    ("result",),
+)
--- a/packages/cardamomrun-gateway/tests/builders.py
+++ b/packages/cardamomrun-gateway/tests/builders.py
@@ -281,6 +281,7 @@
         )
         placement = Placement(self.clock, self.load, "kelowna-a", 0.7, random.Random(1))
         self.shutdown = Shutdown(self.clock, settings.grace_ms)
+        self.has_newest_document = True
         self.front = GatewayFront(
             self.settings,
             self.clock,
@@ -296,6 +297,7 @@
                 self.peers,
                 BackgroundTasks(),
                 self.shutdown,
+                lambda: self.has_newest_document,
             ),
             connections,
         )
--- a/packages/cardamomrun-node/src/cardamomrun_node/gateway_node.py
+++ b/packages/cardamomrun-node/src/cardamomrun_node/gateway_node.py
@@ -13,6 +13,7 @@
 from cardamomrun_gateway.address_book import EntryAddresses
 from cardamomrun_gateway.crash_guard import CrashGuard
 from cardamomrun_gateway.dispatch import DispatchDependencies
+from cardamomrun_gateway.document_check import DocumentAnswers, DocumentCheck
 from cardamomrun_gateway.fleet_load import FleetLoad
 from cardamomrun_gateway.front import GatewayFront
 from cardamomrun_gateway.load_reports import LoadReports
@@ -37,6 +38,9 @@
 
 __all__ = ["GatewayNode"]
 
+# How long a starting entry instance waits for control to confirm its document.
+FIRST_CONFIRMATION_MS = 1_000.0
+
 _log = ComponentLog("node")
 
 
@@ -82,6 +86,7 @@
 
         self.control = RoutingControl(self._settings, self._clock, self.fleet)
         self.registry = ServerRegistry(self._clock, self.fleet, self.control)
+        DocumentAnswers(self.control.newest, self._reports)
 
     @property
     def is_ready(self) -> bool:
@@ -161,6 +166,11 @@
             clock, load, settings.failure_domain, self._gateway.floor_ratio
         )
         crash_guard = CrashGuard(clock, self.fleet, load)
+        documents = DocumentCheck(
+            clock, self.fleet, self.table, self._reports, settings.failure_domain
+        )
+        self._start_loop(documents.run, stack)
+        await documents.wait_first(FIRST_CONFIRMATION_MS)
         tools = DispatchDependencies(
             attempt_tools,
             self.table,
@@ -172,6 +182,7 @@
             self._peers,
             BackgroundTasks(),
             self._shutdown,
+            lambda: documents.is_current,
         )
         self._front = GatewayFront(settings, clock, self._headers, tools, connections)
         await self._front.start()
