Publish a recovered document only once a leader has confirmed it

All entry instances then began with the older document.

Change: a control instance that has started publishes its document once its state has been as new as what a leader confirmed since the start. Servers are restored as before.

test_a_recovered_document_is_not_published_before_a_leader_confirms_it fails before. test_a_restarted_instance_publishes_before_there_is_a_leader asked for the fault: that the document is in force before there is a leader. It now asks that the servers are, and that the document follows within 0.5 s of the leader.

Ruled out: leaving it to the confirmations alone. They keep 404 right; requests on a route that the newer document had moved would still go to its old service.

--- a/packages/cardamomrun-control/src/cardamomrun_control/routing_service.py
+++ b/packages/cardamomrun-control/src/cardamomrun_control/routing_service.py
@@ -56,6 +56,8 @@
 # Changes within this time are published together, since each publication sends the
 # whole document to every instance.
 PUBLISH_SPACING_MS = 250
+# Interval at which an instance that has started asks for the newest number.
+CONFIRM_RETRY_MS = 100
 # Announcements of one incarnation are numbered from 0; these counters rank above them,
 # so that no late announcement returns a draining or gone server to service.
 DRAINING_COUNTER = 1 << 40
@@ -118,6 +120,7 @@
         self.newest = NewestNumber(clock, fleet, self.agreement, self._state)
         self._voter_keeper = VoterKeeper(settings, clock, fleet, self.agreement)
         self._commit_event = asyncio.Event()
+        self._has_caught_up = False
         self._tasks: list[asyncio.Task[None]] = []
         self._delivered_retirements: dict[ServerId, RetiredServer] = {}
         fleet.handle(ForwardRequest, self._on_forward)
@@ -294,14 +297,20 @@
             await self._commit_event.wait()
             self._commit_event.clear()
             try:
-                self._publish_routing()
                 self._publish_retired()
+                await self._publish_routing()
             except CardamomrunError as error:
                 _log.error(f"could not publish the committed state: {error}")
             await self._clock.sleep_ms(PUBLISH_SPACING_MS)
 
-    def _publish_routing(self) -> None:
+    async def _publish_routing(self) -> None:
         routing = self._state.routing
+        if not await self._has_newest(routing.number):
+            # The commit that is missing, or the next attempt, publishes it.
+            asyncio.get_running_loop().call_later(
+                CONFIRM_RETRY_MS / 1_000, self._commit_event.set
+            )
+            return
         stored = self._fleet.store.get(RecordKind.ROUTING, ROUTING_KEY)
         version = (0, routing.number)
         if routing.is_empty or (stored is not None and stored.version >= version):
@@ -312,6 +321,18 @@
         self._put_record(RecordKind.ROUTING, ROUTING_KEY, version, body)
         _log.info("published a routing document", number=routing.number)
 
+    async def _has_newest(self, number: int) -> bool:
+        """Return True once the state has been as new as the leader's since the start.
+
+        What was recovered from disk may lack changes that were acknowledged, and entry
+        instances without a document would take it as the one in force.
+        """
+        if not self._has_caught_up:
+            with suppress(UnavailableError):
+                newest = await self.newest.get()
+                self._has_caught_up = number >= newest.number
+        return self._has_caught_up
+
     def _publish_retired(self) -> None:
         for entry in self._state.routing.all_retired():
             counter = retirement_counter(is_gone=entry.is_gone)
