Let one exchange repair the whole store of a small fleet

Cause: an exchange covered 32 of up to 256 differing buckets, drawn at random, with one peer a second. After a restart of all instances members and servers differ in nearly all buckets, so the bucket of one lost change was drawn about once in eight exchanges.

Change: an exchange is bounded by what it costs, 640 fingerprints (5 KB), and no longer by buckets. A store of up to that many records is repaired by one exchange; at the target size, about 5,000 records, it covers 32 buckets as before.

test_one_exchange_transfers_all_changes_of_a_small_fleet (600 records) fails before: most of the records are missing after one exchange.

Not shown: that an exchange was what the two instances of the users' record waited for.

--- a/packages/cardamomrun-fleet/src/cardamomrun_fleet/fleet.py
+++ b/packages/cardamomrun-fleet/src/cardamomrun_fleet/fleet.py
@@ -60,7 +60,6 @@
 from cardamomrun_fleet.membership import Membership
 from cardamomrun_fleet.overlay import select_peers
 from cardamomrun_fleet.store import (
-    BUCKET_COUNT,
     FINGERPRINT_BYTES,
     HeldRecord,
     Source,
@@ -81,8 +80,9 @@
 SNAPSHOT_STALL_MS = 300
 EXCHANGE_TIMEOUT_MS = 5_000
 EXCHANGE_JITTER_RATIO = 0.2
-# Bounds one exchange; later exchanges transfer the rest of a large difference.
-EXCHANGE_BUCKET_COUNT = 32
+# Bounds the fingerprints that one exchange sends for differing buckets: 5 KB. Later
+# exchanges transfer the rest of a larger difference.
+EXCHANGE_RECORD_COUNT = 640
 LINK_LOSS_GRACE_MS = 1_000
 # Links opened at the same time. On busy machines more of them slow each other down and
 # time out together.
@@ -600,7 +600,7 @@
         with contextlib.suppress(UnavailableError):
             if self._snapshot_peers:
                 # Most records are the same, so only the difference is sent.
-                await self._exchange(link, bucket_count=BUCKET_COUNT)
+                await self._exchange(link, record_count=None)
             else:
                 await link.request(SnapshotRequest(), timeout_ms=SNAPSHOT_TIMEOUT_MS)
             self._snapshot_peers.add(link.peer_id)
@@ -620,15 +620,17 @@
                     await self._exchange(link)
 
     async def _exchange(
-        self, link: Link, bucket_count: int = EXCHANGE_BUCKET_COUNT
+        self, link: Link, record_count: int | None = EXCHANGE_RECORD_COUNT
     ) -> None:
-        """Exchange the records of at most `bucket_count` differing buckets."""
+        """Exchange differing buckets with about `record_count` records here, or all."""
         start = DigestsRequest(self._store.root_digest())
         digests = await link.request(start, timeout_ms=EXCHANGE_TIMEOUT_MS)
         if digests.buckets:
             differing = self._store.differing_buckets(digests.buckets)
             self._random.shuffle(differing)
-            await self._exchange_buckets(link, bytes(differing[:bucket_count]))
+            if record_count is not None:
+                differing = self._store.first_buckets(differing, record_count)
+            await self._exchange_buckets(link, bytes(differing))
         self._last_sync_ms = self._clock.now_ms()
 
     async def _exchange_buckets(self, link: Link, buckets: bytes) -> None:
--- a/packages/cardamomrun-fleet/src/cardamomrun_fleet/store.py
+++ b/packages/cardamomrun-fleet/src/cardamomrun_fleet/store.py
@@ -199,6 +199,16 @@
             if own[start : start + size] != digests[start : start + size]
         ]
 
+    def first_buckets(self, buckets: Iterable[int], record_count: int) -> list[int]:
+        """Return the first of the buckets that have `record_count` records together."""
+        chosen = []
+        for bucket in buckets:
+            if record_count <= 0:
+                break
+            chosen.append(bucket)
+            record_count -= len(self._buckets[bucket])
+        return chosen
+
     def fingerprints(self, buckets: Iterable[int]) -> bytes:
         """Return the fingerprints of the records in the buckets, 8 bytes each."""
         self._expire()
--- a/packages/cardamomrun-fleet/tests/test_fleet.py
+++ b/packages/cardamomrun-fleet/tests/test_fleet.py
@@ -14,7 +14,9 @@
 )
 from cardamomrun_base.model import LeaderBody, Record, RecordKind
 from cardamomrun_fleet import Fleet
+from cardamomrun_fleet.fleet import EXCHANGE_RECORD_COUNT
 from cardamomrun_fleet.links import LinkPurpose
+from cardamomrun_fleet.store import BUCKET_COUNT, FINGERPRINT_BYTES, Store
 
 from .builders import (
     CuttableFleet,
@@ -106,6 +108,31 @@
         runner.run(check())
 
 
+def test_one_exchange_transfers_all_changes_of_a_small_fleet(tmp_path):
+    """Guards against a change that is found late because most other records differ too."""
+
+    async def check():
+        async with running(tmp_path, 2) as (one, two):
+            # Records that arrive before it has caught up are not flooded.
+            one._has_caught_up = False
+            for number in range(600):
+                one._store.merge(crash_record(f"k{number}"), source="lost")
+            await two._exchange(two._overlay_link(one.instance_id))
+            missing = [n for n in range(600) if not holds(two, f"k{n}")]
+            assert not missing
+
+    asyncio.run(check())
+
+
+def test_an_exchange_of_a_large_store_is_bounded():
+    store = Store(SystemClock())
+    for number in range(5_000):
+        store.put(crash_record(f"k{number}"))
+    buckets = store.first_buckets(range(BUCKET_COUNT), EXCHANGE_RECORD_COUNT)
+    count = len(store.fingerprints(buckets)) // FINGERPRINT_BYTES
+    assert EXCHANGE_RECORD_COUNT <= count < 2 * EXCHANGE_RECORD_COUNT
+
+
 def test_seeds_that_change_are_tried_at_once(tmp_path):
     """Guards against an instance that stays isolated as its first seeds are gone."""
 
