Charge the retry budget for arrivals at servers only

Cause: an attempt after one that only failed to connect was counted as a retry and needed budget. The budget bounds what servers get beyond the first arrival of a request; a server that was not reached got nothing. An instance assumes that each of the others spends what it spends itself, so at 105 instances a few failed connections within a second ended its budget, which a queue in its link causes at once.

Change: an attempt needs and takes budget only once an earlier one of the request may have arrived at a server, a rejected one included. The limit of six attempts that no server ran stays.

--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/dispatch.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/dispatch.py
@@ -123,6 +123,7 @@
         self._attempt_count = 0
         self._not_run_count = 0
         self._may_have_run = False
+        self._has_arrived = False
         self._last_failure: NotExecuted | ResponseLost | None = None
         self._identity: RequestIdentity | None = None
         self._own_address = own_address
@@ -371,6 +372,7 @@
         self, attempt: ServerAttempt, result: NotExecuted | ResponseLost
     ) -> None:
         self._last_failure = result
+        self._has_arrived |= attempt.has_arrived
         if isinstance(result, ResponseLost):
             self._may_have_run = True
             self._responder = attempt.server
@@ -426,7 +428,8 @@
             self._refuse_if_relayed()
         if not self._may_start_next(routed):
             return self._last_response(self._last_failure, routed)
-        self._tools.attempt_tools.reports.count_retry(self._service)
+        if self._has_arrived:
+            self._tools.attempt_tools.reports.count_retry(self._service)
         try:
             await self._start_attempt(routed)
         except _RequestFailedError:
@@ -442,6 +445,9 @@
             return False
         if self._is_blocked():
             return False
+        if not self._has_arrived:
+            # The budget is for arrivals at servers beyond the first of a request.
+            return True
         return self._tools.attempt_tools.reports.allows_retry(self._service)
 
     def _last_response(
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_attempt.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_attempt.py
@@ -120,7 +120,10 @@
 
 
 class ServerAttempt:
-    """Sends a request to a server; `close` ends an attempt that is in flight."""
+    """Sends a request to a server; `close` ends an attempt that is in flight.
+
+    `has_arrived` is True once the server may have received a part of the request.
+    """
 
     def __init__(
         self,
@@ -134,6 +137,7 @@
         self.number = number
         self.is_overdue = False
         self.may_have_run = False
+        self.has_arrived = False
         self.started_ms = tools.clock.now_ms()
         self._tools = tools
         self._routed = routed
@@ -208,7 +212,7 @@
             header_names, self.server.body.server_id, remaining_ms
         )
         identity = EchoedHeader(header_names.request_id, request.request_id)
-        self.may_have_run = True
+        self.may_have_run = self.has_arrived = True
         first = request.body.buffered_start()
         answer = connection.start(
             request.method, request.target, headers, first, identity
