Reproduce paths that are taken for lost behind an upload in the own link

The test stands for a link of 3.9 Mbit/s: while a client uploads 290 kB, connections to servers open only when the queue is over. Three other requests get 503 on this code (three runs of three). The builder of the gateway takes settings for it.

Trial, not kept: with a connect time-out of 1 s the test passes, but three cases of test_an_instance_that_lost_its_paths_still_serves_its_clients fail, which need the short time-out behind a real cut.

--- a/packages/cardamomrun-gateway/tests/builders.py
+++ b/packages/cardamomrun-gateway/tests/builders.py
@@ -246,10 +246,12 @@
 class Gateway:
     """A gateway front and its parts, on loopback addresses."""
 
-    def __init__(self, content, bodies, name="e1", grace_ms=GRACE_MS):
-        self.settings = gateway_settings(
-            name, front_port=free_port(), gateway=GatewaySettings(grace_ms=grace_ms)
-        )
+    def __init__(self, content, bodies, name="e1", grace_ms=GRACE_MS, **changes):
+        values = {
+            "front_port": free_port(),
+            "gateway": GatewaySettings(grace_ms=grace_ms),
+        }
+        self.settings = gateway_settings(name, **(values | changes))
         self.clock = OffsetClock()
         self.fleet = FakeFleet(name)
         self.store = self.fleet.store
@@ -326,13 +328,17 @@
 
 
 @contextlib.asynccontextmanager
-async def gateway(*servers, content=None, grace_ms=GRACE_MS):
-    """Run a gateway front for scripted servers with the ids `b1`, `b2` and so on."""
+async def gateway(*servers, content=None, grace_ms=GRACE_MS, **changes):
+    """Run a gateway front for scripted servers with the ids `b1`, `b2` and so on.
+
+    `changes` are those of the settings.
+    """
     bodies = []
     for index, server in enumerate(servers):
         port = await server.start()
         bodies.append(server_body(f"b{index + 1}", address=f"127.0.0.1:{port}"))
-    running = Gateway(content or document(routes=ROUTES), bodies, grace_ms=grace_ms)
+    content = content or document(routes=ROUTES)
+    running = Gateway(content, bodies, grace_ms=grace_ms, **changes)
     await running.front.start()
     try:
         yield running
--- a/packages/cardamomrun-gateway/tests/test_lost_paths.py
+++ b/packages/cardamomrun-gateway/tests/test_lost_paths.py
@@ -7,15 +7,19 @@
 
 import pytest
 
+from cardamomrun_base.clock import MS_PER_S
 from cardamomrun_base.routing_document import RouteKind, ServiceWeight
 from cardamomrun_bench.scripted_server import ScriptedServer, Step, free_port
+from cardamomrun_gateway import paths, server_connections
 from cardamomrun_gateway.address_book import EntryAddresses
 from cardamomrun_gateway.fleet_load import FleetLoad
 from cardamomrun_gateway.paths import OwnPaths, PeerPaths
 from cardamomrun_gateway.server_health import AttemptEnd
+from cardamomrun_requests.upstream import ConnectError, open_stream
 
 from .builders import (
     ROUTES,
+    SERVICE,
     FakeFleet,
     Gateway,
     OffsetClock,
@@ -322,3 +326,55 @@
                 await third.front.stop()
 
     asyncio.run(main())
+
+
+# A link of 3.9 Mbit/s needs this long for an upload of 290 kB. Until then whatever the
+# instance sends or receives waits behind it.
+LINK_MBPS = 3.9
+QUEUE_S = 0.6
+
+
+def test_a_queue_in_the_own_link_is_no_lost_path(monkeypatch):
+    """Guards against instances that take an upload on their narrow link for a cut."""
+    idle_from_s = []
+
+    async def open_behind_queue(address, timeout_ms):
+        loop = asyncio.get_running_loop()
+        wait_s = max(0.0, idle_from_s[0] - loop.time())
+        await asyncio.sleep(min(wait_s, timeout_ms / MS_PER_S))
+        if wait_s > timeout_ms / MS_PER_S:
+            raise ConnectError("timed out")
+        return await open_stream(address, timeout_ms)
+
+    async def upload(running):
+        part = b"x" * int(LINK_MBPS * 125_000 * 0.05)
+        count = round(QUEUE_S / 0.05)
+        head = request("POST", "/c/x", content_length=str(len(part) * count))
+        reader, writer = await running.connect()
+        writer.write(head)
+        for _ in range(count):
+            writer.write(part)
+            await asyncio.sleep(0.05)
+        status = (await reader.readline()).split()[1]
+        writer.close()
+        return status
+
+    async def main():
+        servers = [ScriptedServer([Step(response())]) for _ in range(SERVER_COUNT)]
+        async with gateway(*servers, link_mbps=LINK_MBPS) as running:
+            for module in (server_connections, paths):
+                monkeypatch.setattr(module, "open_stream", open_behind_queue)
+            idle_from_s.append(asyncio.get_running_loop().time() + QUEUE_S)
+            uploading = asyncio.create_task(upload(running))
+            await asyncio.sleep(0.05)
+            calls = [running.call("POST", "/b/x", b"body") for _ in range(3)]
+            received = await asyncio.gather(*calls)
+            assert [answer.status for answer in received] == [200] * 3
+            assert await uploading == b"200"
+            assert not running.paths.are_lost
+            charged = [
+                s for s in running.load.servers_of(SERVICE) if s.health.unreached_by
+            ]
+            assert charged == []
+
+    asyncio.run(main())
