Count the wait behind bodies on the own link for no failure of a server

Cause: an upload of 60 to 360 kB takes 0.12 to 0.75 s of a link of 3.9 Mbit/s, and everything else waits behind it. A connection that took 200 ms was charged to the server and to the paths, as if only they could make it late.

Change: an instance knows its link's capacity and which bodies pass it. LinkQueue works out how long a packet waits behind them, at most 1 s in each direction, and connections to servers and the check of the own paths wait for that much longer. Without a body on the link, nothing changes: a real cut is found after 200 ms.

Ruled out: a longer time-out for all (a trial of 1 s failed three cases of test_an_instance_that_lost_its_paths_still_serves_its_clients).

Bodies in chunks, whose length is not known, don't count yet.

--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/dispatch.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/dispatch.py
@@ -142,6 +142,7 @@
     async def run(self) -> None:
         """Run the request; a cancellation means that the client disconnected."""
         arrived_ms = self._clock.now_ms()
+        self._tools.attempt_tools.link.receive(self._request.body.length or 0)
         try:
             await self._run(arrived_ms)
         except (asyncio.CancelledError, StreamClosedError, IncompleteBodyError):
@@ -682,6 +683,7 @@
         line = response.start_line
         await self._reply.start(line.code, line.reason, headers, "done")
         if response.body_start:
+            self._tools.attempt_tools.link.send(len(response.body_start))
             await self._reply.write(response.body_start)
         while response.body_rest is not None:
             chunk = await response.body_rest.get()
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/paths.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/paths.py
@@ -6,10 +6,11 @@
 from cardamomrun_base.clock import Clock
 from cardamomrun_base.interfaces import Fleet
 from cardamomrun_base.logs import ComponentLog
-from cardamomrun_base.model import MemberBody, MemberPhase
+from cardamomrun_base.model import DEFAULT_LINK_MBPS, MemberBody, MemberPhase
 from cardamomrun_base.settings import Role
 from cardamomrun_gateway import metrics
-from cardamomrun_requests.upstream import ConnectError, open_stream
+from cardamomrun_gateway.link_queue import LinkQueue
+from cardamomrun_requests.upstream import ConnectError
 
 __all__ = ["ConnectFailures", "OwnPaths", "PeerPaths"]
 
@@ -71,8 +72,14 @@
 class OwnPaths:
     """Whether this instance can reach backend servers at all."""
 
-    def __init__(self, clock: Clock, randomness: random.Random | None = None) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        link: LinkQueue | None = None,
+        randomness: random.Random | None = None,
+    ) -> None:
         self._clock = clock
+        self._link = link or LinkQueue(clock, DEFAULT_LINK_MBPS)
         self._random = randomness or random.Random()
         self._failures = ConnectFailures()
         self._suspected = asyncio.Event()
@@ -111,7 +118,7 @@
         candidates = others or list(addresses.values())
         count = min(CHECKED_SERVER_COUNT, len(candidates))
         checked = self._random.sample(candidates, count)
-        reached = await asyncio.gather(*map(_can_connect, checked))
+        reached = await asyncio.gather(*map(self._can_connect, checked))
         was_lost = self.are_lost
         self.are_lost = count > 0 and not any(reached)
         self._failures.clear()
@@ -124,6 +131,14 @@
             _log.info("reaches backend servers again")
         return was_lost and not self.are_lost
 
+    async def _can_connect(self, address: str) -> bool:
+        try:
+            stream = await self._link.connect(address, CONNECT_TIMEOUT_MS)
+        except (ConnectError, ValueError):
+            return False
+        stream.close()
+        return True
+
 
 class PeerPaths:
     """Entry instances that can serve requests for this one.
@@ -200,12 +215,3 @@
         if local and len(excluded) < LOCAL_ASKED_COUNT:
             candidates = local
         return self._random.choice(candidates).front_address if candidates else None
-
-
-async def _can_connect(address: str) -> bool:
-    try:
-        stream = await open_stream(address, CONNECT_TIMEOUT_MS)
-    except (ConnectError, ValueError):
-        return False
-    stream.close()
-    return True
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_attempt.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_attempt.py
@@ -11,6 +11,7 @@
 from cardamomrun_base.logs import ComponentLog
 from cardamomrun_gateway import metrics
 from cardamomrun_gateway.fleet_load import FleetLoad, Server
+from cardamomrun_gateway.link_queue import LinkQueue
 from cardamomrun_gateway.load_reports import LoadReports
 from cardamomrun_gateway.permits import Permit
 from cardamomrun_gateway.routed_request import RoutedRequest, RouteTimes
@@ -111,6 +112,7 @@
     limits: ServerLimits
     load: FleetLoad
     notices: ServerNotices
+    link: LinkQueue
 
 
 @dataclass
@@ -214,6 +216,7 @@
         identity = EchoedHeader(header_names.request_id, request.request_id)
         self.may_have_run = self.has_arrived = True
         first = request.body.buffered_start()
+        self._tools.link.send(len(first))
         answer = connection.start(
             request.method, request.target, headers, first, identity
         )
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_connections.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_connections.py
@@ -8,7 +8,8 @@
 from cardamomrun_base.settings import GatewaySettings
 from cardamomrun_gateway import metrics
 from cardamomrun_gateway.fleet_load import FleetLoad, Server
-from cardamomrun_requests.upstream import UpstreamConnection, open_stream
+from cardamomrun_gateway.link_queue import LinkQueue
+from cardamomrun_requests.upstream import UpstreamConnection
 
 __all__ = ["NON_IDEMPOTENT_IDLE_MS", "ServerConnections"]
 
@@ -28,8 +29,9 @@
     """Keeps idle connections by server; a connection serves one request at a time."""
 
     def __init__(
-        self, settings: GatewaySettings, clock: Clock, load: FleetLoad
+        self, settings: GatewaySettings, clock: Clock, load: FleetLoad, link: LinkQueue
     ) -> None:
+        self._link = link
         self._settings = settings
         self._clock = clock
         self._load = load
@@ -55,7 +57,7 @@
                 idle.connection.idle_ms = now_ms - idle.since_ms
                 return idle.connection
             idle.connection.close()
-        stream = await open_stream(server.body.address, CONNECT_TIMEOUT_MS)
+        stream = await self._link.connect(server.body.address, CONNECT_TIMEOUT_MS)
         metrics.CONNECTIONS.labels(server.body.service).inc()
         return UpstreamConnection(stream)
 
--- a/packages/cardamomrun-gateway/tests/builders.py
+++ b/packages/cardamomrun-gateway/tests/builders.py
@@ -36,6 +36,7 @@
 from cardamomrun_gateway.dispatch import DispatchDependencies
 from cardamomrun_gateway.fleet_load import FleetLoad
 from cardamomrun_gateway.front import GatewayFront
+from cardamomrun_gateway.link_queue import LinkQueue
 from cardamomrun_gateway.load_model import (
     DomainEnd,
     DomainLoad,
@@ -256,7 +257,8 @@
         self.fleet = FakeFleet(name)
         self.store = self.fleet.store
         self.table = RoutingTable(self.store)
-        self.paths = OwnPaths(self.clock)
+        link = LinkQueue(self.clock, self.settings.link_mbps)
+        self.paths = OwnPaths(self.clock, link)
         self.peers = PeerPaths(self.clock, self.fleet, "kelowna-a")
         self.load = FleetLoad(self.clock, self.store, name, self.paths)
         settings = self.settings.gateway
@@ -265,7 +267,7 @@
             self.settings, self.clock, self.fleet, self.load, self.budget
         )
         self.connections = connections = ServerConnections(
-            settings, self.clock, self.load
+            settings, self.clock, self.load, link
         )
         self.limits = ServerLimits(self.clock, self.fleet, self.load)
         self.notices = ServerNotices(
@@ -280,6 +282,7 @@
             self.limits,
             self.load,
             self.notices,
+            link,
         )
         placement = Placement(self.clock, self.load, "kelowna-a", 0.7, random.Random(1))
         self.shutdown = Shutdown(self.clock, settings.grace_ms)
--- a/packages/cardamomrun-gateway/tests/test_lost_paths.py
+++ b/packages/cardamomrun-gateway/tests/test_lost_paths.py
@@ -10,7 +10,7 @@
 from cardamomrun_base.clock import MS_PER_S
 from cardamomrun_base.routing_document import RouteKind, ServiceWeight
 from cardamomrun_bench.scripted_server import ScriptedServer, Step, free_port
-from cardamomrun_gateway import paths, server_connections
+from cardamomrun_gateway import link_queue
 from cardamomrun_gateway.address_book import EntryAddresses
 from cardamomrun_gateway.fleet_load import FleetLoad
 from cardamomrun_gateway.paths import OwnPaths, PeerPaths
@@ -362,8 +362,7 @@
     async def main():
         servers = [ScriptedServer([Step(response())]) for _ in range(SERVER_COUNT)]
         async with gateway(*servers, link_mbps=LINK_MBPS) as running:
-            for module in (server_connections, paths):
-                monkeypatch.setattr(module, "open_stream", open_behind_queue)
+            monkeypatch.setattr(link_queue, "open_stream", open_behind_queue)
             idle_from_s.append(asyncio.get_running_loop().time() + QUEUE_S)
             uploading = asyncio.create_task(upload(running))
             await asyncio.sleep(0.05)
--- a/packages/cardamomrun-node/src/cardamomrun_node/gateway_node.py
+++ b/packages/cardamomrun-node/src/cardamomrun_node/gateway_node.py
@@ -16,6 +16,7 @@
 from cardamomrun_gateway.document_check import DocumentAnswers, DocumentCheck
 from cardamomrun_gateway.fleet_load import FleetLoad
 from cardamomrun_gateway.front import GatewayFront
+from cardamomrun_gateway.link_queue import LinkQueue
 from cardamomrun_gateway.load_reports import LoadReports
 from cardamomrun_gateway.paths import OwnPaths, PeerPaths
 from cardamomrun_gateway.permits import Permits
@@ -61,7 +62,8 @@
         self.table = RoutingTable(self.fleet.store)
         self.control: RoutingControl | None = None
         self.registry: ServerRegistry | None = None
-        self._paths = OwnPaths(clock)
+        self._link = LinkQueue(clock, settings.link_mbps)
+        self._paths = OwnPaths(clock, self._link)
         self._peers = PeerPaths(clock, self.fleet, settings.failure_domain)
         self._load = FleetLoad(
             clock, self.fleet.store, settings.instance_id, self._paths
@@ -148,7 +150,7 @@
 
     async def _start_entry(self, stack: AsyncExitStack) -> None:
         settings, clock, load = self._settings, self._clock, self._load
-        connections = ServerConnections(self._gateway, clock, load)
+        connections = ServerConnections(self._gateway, clock, load, self._link)
         limits = ServerLimits(clock, self.fleet, load)
         attempt_tools = AttemptDependencies(
             clock,
@@ -161,6 +163,7 @@
             ServerNotices(
                 clock, self._headers, self.fleet, load, connections, self._reports
             ),
+            self._link,
         )
         placement = Placement(
             clock, load, settings.failure_domain, self._gateway.floor_ratio
--- a/packages/cardamomrun-requests/src/cardamomrun_requests/upstream.py
+++ b/packages/cardamomrun-requests/src/cardamomrun_requests/upstream.py
@@ -26,6 +26,7 @@
     "ConnectError",
     "ConnectRefusedError",
     "EchoedHeader",
+    "PeekableStream",
     "UpstreamConnection",
     "UpstreamPools",
     "open_stream",
@@ -168,7 +169,7 @@
             )
 
 
-class _PeekableStream(IOStream):
+class PeekableStream(IOStream):
     """A stream that can be checked for unread input without reading it."""
 
     def has_unread_input(self) -> bool:
@@ -186,7 +187,7 @@
 class UpstreamConnection:
     """One connection to a backend server, for one request at a time."""
 
-    def __init__(self, stream: _PeekableStream) -> None:
+    def __init__(self, stream: PeekableStream) -> None:
         self.pool: _ServerPool | None = None
         self.reused = False
         self.idle_since_ms = 0.0
@@ -414,12 +415,12 @@
     return UpstreamConnection(stream)
 
 
-async def open_stream(address: str, timeout_ms: float) -> _PeekableStream:
+async def open_stream(address: str, timeout_ms: float) -> PeekableStream:
     """Connect to `host:port`. Raises `ConnectError`."""
     host, _, port = address.rpartition(":")
     host = host.strip("[]")
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    stream = _PeekableStream(socket.socket(family), read_chunk_size=CHUNK_BYTES)
+    stream = PeekableStream(socket.socket(family), read_chunk_size=CHUNK_BYTES)
     stream.socket.setsockopt(
         socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
     )
