--- a/tests/adapter/processes.py
+++ b/tests/adapter/processes.py
@@ -25,6 +25,7 @@
         self.control = [f"{self.network}.{n}" for n in (1, 2, 3)]
         self.entry = [f"{self.network}.{n}" for n in range(11, 11 + entry_count)]
         self.running = {}
+        self._starts = {}
 
     def start_all(self):
         for ip in self.control:
@@ -38,6 +39,7 @@
             self.start(ip, ["edge"], listen, None)
 
     def start(self, ip, serves, listen, data_dir):
+        self._starts[ip] = (serves, listen, data_dir)
         fields = settings_fields(
             node_name=ip,
             ip=ip,
@@ -49,7 +51,7 @@
         )
         path = self.folder / f"{ip}.json"
         path.write_text(settings_text(fields))
-        log = (self.folder / f"{ip}.log").open("wb")
+        log = (self.folder / f"{ip}.log").open("ab")
         self.running[ip] = subprocess.Popen(
             [sys.executable, "-P", "-m", "cardamomrun_platform"],
             env=os.environ | {"CARDAMOMRUN_CONFIG": str(path)},
@@ -57,6 +59,10 @@
             stderr=log,
         )
 
+    def restart(self, ip):
+        """Start a machine that was started before, with its settings and data."""
+        self.start(ip, *self._starts[ip])
+
     def stop(self):
         for process in self.running.values():
             process.kill()
