Log why an exchange with a peer failed

Failed exchanges were dropped silently, so that logs could not tell an instance that misses a change because its exchanges fail from one whose exchanges cover other buckets.

--- a/packages/cardamomrun-fleet/src/cardamomrun_fleet/fleet.py
+++ b/packages/cardamomrun-fleet/src/cardamomrun_fleet/fleet.py
@@ -616,8 +616,10 @@
                 continue
             link = self._overlay_link(self._random.choice(peers))
             if link is not None:
-                with contextlib.suppress(UnavailableError):
+                try:
                     await self._exchange(link)
+                except UnavailableError as error:
+                    log.warning(f"exchange failed: {error}", peer_id=link.peer_id)
 
     async def _exchange(
         self, link: Link, record_count: int | None = EXCHANGE_RECORD_COUNT
