Show that an instance without contact denies a route

An entry instance that has lost its links, and whose peers do not answer, answers 404 for a route that an acknowledged document added meanwhile. Both tests of the file require 503 now, so that no answer at all does not pass either.

--- a/tests/adapter/test_return_of_all.py
+++ b/tests/adapter/test_old_documents.py
@@ -1,4 +1,4 @@
-"""All machines are killed right after an acknowledgement and come back."""
+"""Entry machines that hold an older document than the acknowledged one."""
 
 import asyncio
 import signal
@@ -9,6 +9,7 @@
 from .processes import (
     CONTROL_PORT,
     FRONT_PORT,
+    READY_PORT,
     WAIT_S,
     Fleet,
     fetch,
@@ -20,8 +21,13 @@
 ADDED_ROUTE = {"name": "r-2", "host": "a.example", "path_prefix": "/added/"}
 # Recovery data is saved each 500 ms.
 SAVED_S = 1.5
+# Links that are silent for 3 s are closed.
+LINKS_LOST_S = 5.0
+# The time without an exchange after which an instance may be behind, and a second.
+BEHIND_S = 6.0
 OBSERVATION_COUNT = 30
 OBSERVATION_SPACING_S = 0.1
+UNAVAILABLE = 503
 
 
 @pytest.fixture
@@ -84,6 +90,31 @@
         for _ in range(OBSERVATION_COUNT):
             seen |= {await status_of_added_route(ip) for ip in fleet.entry}
             await asyncio.sleep(OBSERVATION_SPACING_S)
-        assert 404 not in seen
+        assert seen == {UNAVAILABLE}
+
+    asyncio.run(main())
+
+
+def test_a_route_is_not_denied_without_contact_to_the_fleet(fleet):
+    """Guards against 404 for an acknowledged route from an instance that is cut off."""
+
+    async def main():
+        fleet.start_all()
+        await put(fleet.control[0], "00000001", OLD_ROUTE)
+        for ip in fleet.entry:
+            await wait_for_success(
+                lambda ip=ip: fetch(f"{ip}:{READY_PORT}", "/v1/ready")
+            )
+        await asyncio.sleep(SAVED_S)
+        cut_off = fleet.entry[0]
+        others = [ip for ip in fleet.running if ip != cut_off]
+        fleet.running[cut_off].send_signal(signal.SIGSTOP)
+        await asyncio.sleep(LINKS_LOST_S)
+        await put(fleet.control[0], "00000002", OLD_ROUTE, ADDED_ROUTE)
+        for ip in others:
+            fleet.running[ip].send_signal(signal.SIGSTOP)
+        fleet.running[cut_off].send_signal(signal.SIGCONT)
+        await asyncio.sleep(BEHIND_S)
+        assert await status_of_added_route(cut_off) == UNAVAILABLE
 
     asyncio.run(main())
