Let every control instance confirm documents, at the price of few questions

- An instance without a document asked the leader without end.
- Instances that asked at the same time did not share a question: 50 calls, 50 requests.
- A confirmation from before the start of a control instance counted for its document.
- A document that had arrived and could not be read was fetched without end (8 times in 2 s): an older release keeps its document then.

Not done: an instance that knows of a newer document, and can't get it, goes on serving by the one it holds.

--- a/packages/cardamomrun-control/src/cardamomrun_control/newest_number.py
+++ b/packages/cardamomrun-control/src/cardamomrun_control/newest_number.py
@@ -1,5 +1,6 @@
 """The number of the newest routing document, as far as a majority has confirmed it."""
 
+import asyncio
 from dataclasses import dataclass
 from typing import Any
 
@@ -11,6 +12,7 @@
 from cardamomrun_base.model import InstanceId, Record, RecordKind
 from cardamomrun_control.agreement import Agreement
 from cardamomrun_control.state import ControlState
+from cardamomrun_control.status import LEADER_KEY
 
 __all__ = ["ROUTING_KEY", "NewestNumber"]
 
@@ -42,6 +44,7 @@
         self._state = state
         self._number = -1
         self._confirmed_ms = float("-inf")
+        self._asking: asyncio.Task[None] | None = None
         fleet.handle(NewestNumberRequest, self._on_number_request)
         fleet.handle(DocumentRequest, self._on_document_request)
 
@@ -53,7 +56,8 @@
         if self._agreement.is_leader:
             return self._own_answer()
         if self._clock.now_ms() - self._confirmed_ms > SHARED_MS:
-            await self._ask_leader()
+            # Shielded, because other questions may wait for the same answer.
+            await asyncio.shield(self._shared_question())
         return ConfirmedNumber(self._number, self._clock.now_ms() - self._confirmed_ms)
 
     def _own_answer(self) -> ConfirmedNumber:
@@ -66,8 +70,20 @@
         age_ms = max(0.0, self._clock.now_ms() - confirmed_ms)
         return ConfirmedNumber(self._state.routing.number, age_ms)
 
+    def _shared_question(self) -> asyncio.Task[None]:
+        if self._asking is None or self._asking.done():
+            self._asking = asyncio.create_task(self._ask_leader())
+        return self._asking
+
+    def _leader_id(self) -> InstanceId | None:
+        # Instances without a vote know the leader only from its record.
+        if self._agreement.leader_id is not None:
+            return self._agreement.leader_id
+        record = self._fleet.store.get(RecordKind.LEADER, LEADER_KEY)
+        return None if record is None else record.content.instance_id
+
     async def _ask_leader(self) -> None:
-        leader_id = self._agreement.leader_id
+        leader_id = self._leader_id()
         if leader_id is None or leader_id == self._fleet.instance_id:
             raise UnavailableError(
                 "No leader of the control instances is known.",
--- a/packages/cardamomrun-control/src/cardamomrun_control/routing_service.py
+++ b/packages/cardamomrun-control/src/cardamomrun_control/routing_service.py
@@ -121,6 +121,7 @@
         self._voter_keeper = VoterKeeper(settings, clock, fleet, self.agreement)
         self._commit_event = asyncio.Event()
         self._has_caught_up = False
+        self._started_ms = clock.now_ms()
         self._tasks: list[asyncio.Task[None]] = []
         self._delivered_retirements: dict[ServerId, RetiredServer] = {}
         fleet.handle(ForwardRequest, self._on_forward)
@@ -305,6 +306,8 @@
 
     async def _publish_routing(self) -> None:
         routing = self._state.routing
+        if routing.is_empty:
+            return
         if not await self._has_newest(routing.number):
             # The commit that is missing, or the next attempt, publishes it.
             asyncio.get_running_loop().call_later(
@@ -313,7 +316,7 @@
             return
         stored = self._fleet.store.get(RecordKind.ROUTING, ROUTING_KEY)
         version = (0, routing.number)
-        if routing.is_empty or (stored is not None and stored.version >= version):
+        if stored is not None and stored.version >= version:
             return
         # Only `read` returns the source text, which is half of the bytes.
         document = replace(unpack_routing(routing.packed), source=b"")
@@ -330,7 +333,10 @@
         if not self._has_caught_up:
             with suppress(UnavailableError):
                 newest = await self.newest.get()
-                self._has_caught_up = number >= newest.number
+                confirmed_ms = self._clock.now_ms() - newest.age_ms
+                self._has_caught_up = (
+                    number >= newest.number and confirmed_ms >= self._started_ms
+                )
         return self._has_caught_up
 
     def _publish_retired(self) -> None:
--- a/packages/cardamomrun-control/tests/test_routing_service.py
+++ b/packages/cardamomrun-control/tests/test_routing_service.py
@@ -3,9 +3,11 @@
 import pytest
 
 from cardamomrun_base.errors import DocumentError, UnavailableError
+from cardamomrun_base.messages import ConfirmedNumber
 from cardamomrun_base.model import BackendPhase, Record, RecordKind, RoutedServerBody
-from cardamomrun_control.newest_number import SHARED_MS
+from cardamomrun_control.newest_number import SHARED_MS, NewestNumberRequest
 from cardamomrun_control.routing_service import RECOVERY_SPACING_MS, ROUTING_KEY
+from cardamomrun_control.status import LEADER_KEY
 
 from .builders import RoutingCluster, real_time, retry, routing, until
 
@@ -320,3 +322,77 @@
             store = instance.fleet.store
             await until(lambda s=store: s.get(RecordKind.ROUTING, ROUTING_KEY), 10)
             assert store.get(RecordKind.ROUTING, ROUTING_KEY).content.number == 3
+
+
+@real_time
+async def test_an_instance_without_a_vote_names_the_newest_document(tmp_path):
+    """Guards against questions that only the voters among the instances answer."""
+    fields = {**FAST_SETTINGS, "voter_count": 3}
+    async with RoutingCluster(tmp_path, count=5, **fields) as cluster:
+        leader = await cluster.wait_for_leader()
+        await retry(lambda: leader.control.put(routing(3), "op"))
+        key = (RecordKind.LEADER, LEADER_KEY)
+        await until(lambda: leader.fleet.store.get(*key) is not None)
+        await cluster.wait_for_voters(("c1", "c2", "c3"))
+        for name in ("c4", "c5"):
+            instance = cluster.instances[name]
+            instance.fleet.store.put(leader.fleet.store.get(*key))
+            assert (await retry(instance.control.read)).number == 3
+            assert (await instance.control.newest.get()).number == 3
+
+
+@real_time
+async def test_instances_that_ask_at_once_share_one_question_to_the_leader(tmp_path):
+    """Guards against a leader that is asked by every entry instance of a large fleet."""
+    async with RoutingCluster(tmp_path, **FAST_SETTINGS) as cluster:
+        leader = await cluster.wait_for_leader()
+        await retry(lambda: leader.control.put(routing(3), "op"))
+        asked = []
+        answer = leader.fleet.handlers[NewestNumberRequest]
+
+        async def count(peer_id, request):
+            asked.append(peer_id)
+            return await answer(peer_id, request)
+
+        leader.fleet.handlers[NewestNumberRequest] = count
+        newest = follower(cluster).control.newest
+        await asyncio.gather(*(newest.get() for _ in range(50)))
+        assert len(asked) == 1
+
+
+@real_time
+async def test_a_leader_without_a_majority_does_not_confirm_a_recovered_document(
+    tmp_path,
+):
+    """Guards against an older document that a cut-off leader confirms after a restart."""
+    async with RoutingCluster(tmp_path, **FAST_SETTINGS) as cluster:
+        leader = await cluster.wait_for_leader()
+        await retry(lambda: leader.control.put(routing(3), "op"))
+        restarted = follower(cluster)
+        await restarted.crash()
+        await restarted.start()
+        # The leader's last majority is older than the start of the instance.
+        restarted.control.newest.get = lambda: asyncio.sleep(
+            0, ConfirmedNumber(3, 60_000.0)
+        )
+        await asyncio.sleep(1.0)
+        assert restarted.fleet.store.get(RecordKind.ROUTING, ROUTING_KEY) is None
+
+
+@real_time
+async def test_an_instance_without_a_document_does_not_keep_asking(tmp_path):
+    """Guards against instances without a vote that ask the leader for ever."""
+    fields = {**FAST_SETTINGS, "voter_count": 3}
+    async with RoutingCluster(tmp_path, count=4, **fields) as cluster:
+        leader = await cluster.wait_for_leader()
+        await retry(lambda: leader.control.put(routing(3), "op"))
+        newest = cluster.instances["c4"].control.newest
+        ask, calls = newest.get, []
+
+        async def count():
+            calls.append(1)
+            return await ask()
+
+        newest.get = count
+        await asyncio.sleep(2.0)
+        assert len(calls) <= 1
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/document_check.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/document_check.py
@@ -30,6 +30,7 @@
 # Older instances ignore datagrams of a kind that they don't know.
 ASK = b"\x0d"
 ANSWER = b"\x0e"
+ROUTING_KEY = "routing"
 QUESTION_FORMAT = struct.Struct("!I")
 # Question, number of the newest document, its age in ms.
 ANSWER_FORMAT = struct.Struct("!IqI")
@@ -103,6 +104,7 @@
         self._asked_ms: dict[int, float] = {}
         self._asked: MemberBody | None = None
         self._confirmed_ms = float("-inf")
+        self._last_asked_ms = float("-inf")
         self._newest = -1
         self._behind_since_ms: float | None = None
         self._first_confirmed = asyncio.Event()
@@ -129,17 +131,21 @@
         """Ask regularly, and fetch a document that does not arrive, until cancelled."""
         was_current = False
         while True:
-            self._ask()
-            await self._clock.sleep_ms(self._interval_ms())
+            if self._is_question_due():
+                self._ask()
+            await self._clock.sleep_ms(RETRY_INTERVAL_MS * self._random.uniform(0.8, 1))
             if self._is_fetch_due():
                 await self._fetch()
             if self.is_current != was_current:
                 was_current = not was_current
                 self._log_change(was_current)
 
-    def _interval_ms(self) -> float:
-        interval_ms = ASK_INTERVAL_MS if self.is_current else RETRY_INTERVAL_MS
-        return interval_ms * self._random.uniform(0.8, 1.0)
+    def _is_question_due(self) -> bool:
+        """Return True unless the last question was answered a short time ago."""
+        if not self.is_current or self._question in self._asked_ms:
+            return True
+        age_ms = self._clock.now_ms() - self._last_asked_ms
+        return age_ms + RETRY_INTERVAL_MS > ASK_INTERVAL_MS
 
     def _log_change(self, is_current: bool) -> None:
         metrics.DOCUMENT_IS_CURRENT.set(float(is_current))
@@ -160,7 +166,7 @@
             return
         self._asked = control
         self._question = (self._question + 1) % QUESTION_COUNT
-        self._asked_ms[self._question] = self._clock.now_ms()
+        self._asked_ms[self._question] = self._last_asked_ms = self._clock.now_ms()
         if len(self._asked_ms) > PENDING_COUNT:
             del self._asked_ms[next(iter(self._asked_ms))]
         question = QUESTION_FORMAT.pack(self._question)
@@ -198,6 +204,10 @@
             self._behind_since_ms = self._clock.now_ms()
 
     def _is_fetch_due(self) -> bool:
+        stored = self._fleet.store.get(RecordKind.ROUTING, ROUTING_KEY)
+        if stored is not None and stored.content.number >= self._newest:
+            # It has arrived but can't be read.
+            return False
         return (
             self._newest > self._table.number
             and self._behind_since_ms is not None
--- a/packages/cardamomrun-gateway/tests/test_document_check.py
+++ b/packages/cardamomrun-gateway/tests/test_document_check.py
@@ -6,6 +6,7 @@
 
 from cardamomrun_base.errors import PeerTimeoutError, UnavailableError
 from cardamomrun_base.messages import ConfirmedNumber
+from cardamomrun_base.model import Record, RecordKind, RoutingBody
 from cardamomrun_gateway.document_check import (
     CONFIRMED_MS,
     DocumentAnswers,
@@ -217,3 +218,30 @@
             assert (received.status, received.outcome) == (404, "not-run")
 
     asyncio.run(main())
+
+
+def test_a_document_that_cannot_be_read_is_not_fetched_for_ever():
+    """Guards against instances of an older release that fetch a document all the time."""
+
+    async def main():
+        entry = Entry()
+        body = RoutingBody(2, "digest", b"of a later release")
+        unreadable = Record.from_content(
+            RecordKind.ROUTING, "routing", "c1", (0, 2), body
+        )
+        entry.fleet.store.put(unreadable)
+        assert entry.table.number == 1
+        fetches = []
+        for control in (entry.near, entry.far):
+            control.number, control.documents = 2, {2: unreadable}
+
+        async def request(instance_id, message, *, timeout_ms):
+            fetches.append(instance_id)
+            return unreadable
+
+        entry.fleet.request = request
+        async with entry.running():
+            await asyncio.sleep(2.0)
+        assert len(fetches) <= 1
+
+    asyncio.run(main())
