--- a/packages/cardamomrun-gateway/tests/test_placement.py
+++ b/packages/cardamomrun-gateway/tests/test_placement.py
@@ -320,12 +320,16 @@
 
 
 @pytest.mark.parametrize("faulty_ratio", [0.0, 0.3])
-@pytest.mark.parametrize("idempotent_ratio", [0.0, 0.3])
-def test_requests_do_not_leave_most_sound_servers_idle(idempotent_ratio, faulty_ratio):
+@pytest.mark.parametrize(
+    ("server_count", "idempotent_ratio"), [(28, 0.0), (56, 0.0), (56, 0.3)]
+)
+def test_requests_do_not_leave_most_sound_servers_idle(
+    server_count, idempotent_ratio, faulty_ratio
+):
     """Guards against requests that stay with the servers that accepted one lately."""
     counts = simulate(
         instance_count=105,
-        server_count=56,
+        server_count=server_count,
         slots=6,
         rate_per_s=85.0,
         idempotent_ratio=idempotent_ratio,
