Let no trusted server stay idle while others get its requests

Cause: the cost of a server grew by up to 500 ms while nobody saw it accept a request, and its mean response time counted for ever. A full server costs a tenth of the work more than an idle one. So a server that was idle for two seconds, or slow a few times, got no request that could have corrected that, and those of a service without idempotent requests went round among a third of its servers.

Change: an idle server that was not seen for a second is preferred by 300 ms, and what its mean says fades with a half-life of 1.4 s. Servers that nobody has used yet are chosen as before.

--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/placement.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/placement.py
@@ -37,6 +37,13 @@
 STALE_COST_RATIO = 0.25
 STALE_BONUS_RATIO = 0.15
 STALE_LIMIT_MS = 2_000.0
+# An idle server that has not been seen to accept a request for this long is preferred
+# by all requests. Otherwise a service without idempotent requests would use a third of
+# its servers only, and those that it found slow once would stay idle.
+REFRESH_MS = 1_000.0
+REFRESH_BONUS_MS = 300.0
+# Half-life of what the mean response time of a server says about the next response.
+MEAN_HALF_LIFE_MS = 1_400.0
 # A service without idempotent requests gets its trials from other requests, which are
 # lost if the trial fails, so the first one waits this much longer and later ones more.
 NON_IDEMPOTENT_TRIAL_MS = 12_000.0
@@ -368,16 +375,21 @@
     ) -> float:
         """Return the expected duration of an attempt plus penalties, in ms."""
         slots = server.body.slots
-        work_ms = criteria.expected_ms * self._load.latency_ratio(server)
+        unseen_ms = now_ms - server.health.last_accepted_ms
+        mean_weight = 0.5 ** (max(0.0, unseen_ms) / MEAN_HALF_LIFE_MS)
+        ratio = 1 + (self._load.latency_ratio(server) - 1) * mean_weight
+        work_ms = criteria.expected_ms * ratio
         if server.is_warming_up(now_ms):
             work_ms *= WARM_UP_FACTOR
         utilization = server.in_flight_count / slots
         cost_ms = work_ms * (1 + UTILIZATION_COST_RATIO * utilization)
         queued = max(0, server.in_flight_count + 1 - slots)
         cost_ms += work_ms * queued / slots
-        stale_ms = min(STALE_LIMIT_MS, now_ms - server.health.last_accepted_ms)
+        stale_ms = min(STALE_LIMIT_MS, unseen_ms)
         if criteria.is_retryable:
             cost_ms -= stale_ms * STALE_BONUS_RATIO
+        elif REFRESH_MS <= unseen_ms < float("inf") and server.in_flight_count == 0:
+            cost_ms -= REFRESH_BONUS_MS
         else:
             cost_ms += stale_ms * STALE_COST_RATIO
         if server.body.failure_domain != self._failure_domain:
