--- a/packages/cardamomrun-base/src/cardamomrun_base/model.py
+++ b/packages/cardamomrun-base/src/cardamomrun_base/model.py
@@ -12,6 +12,7 @@
 from cardamomrun_base.codec import decode, encode, message
 
 __all__ = [
+    "ROUTING_KEY",
     "DEFAULT_LINK_MBPS",
     "BackendBody",
     "BackendPhase",
@@ -34,6 +35,8 @@
     "environment_id",
 ]
 
+# Key of the one record of kind `routing`.
+ROUTING_KEY = "routing"
 # Link capacity of an instance whose settings don't give one.
 DEFAULT_LINK_MBPS = 1_000.0
 
--- a/packages/cardamomrun-control/src/cardamomrun_control/newest_number.py
+++ b/packages/cardamomrun-control/src/cardamomrun_control/newest_number.py
@@ -9,14 +9,13 @@
 from cardamomrun_base.errors import UnavailableError
 from cardamomrun_base.interfaces import Fleet
 from cardamomrun_base.messages import ConfirmedNumber, DocumentRequest
-from cardamomrun_base.model import InstanceId, Record, RecordKind
+from cardamomrun_base.model import ROUTING_KEY, InstanceId, Record, RecordKind
 from cardamomrun_control.agreement import Agreement
 from cardamomrun_control.state import ControlState
 from cardamomrun_control.status import LEADER_KEY
 
-__all__ = ["ROUTING_KEY", "NewestNumber"]
+__all__ = ["NewestNumber"]
 
-ROUTING_KEY = "routing"
 # Instances that ask within this time share one question to the leader.
 SHARED_MS = 200.0
 LEADER_TIMEOUT_MS = 500
--- a/packages/cardamomrun-control/src/cardamomrun_control/routing_service.py
+++ b/packages/cardamomrun-control/src/cardamomrun_control/routing_service.py
@@ -15,6 +15,7 @@
 from cardamomrun_base.interfaces import Fleet
 from cardamomrun_base.logs import ComponentLog
 from cardamomrun_base.model import (
+    ROUTING_KEY,
     BackendPhase,
     InstanceId,
     LeaderBody,
@@ -33,7 +34,7 @@
 from cardamomrun_base.settings import NodeSettings
 from cardamomrun_control.agreement import Agreement
 from cardamomrun_control.metrics import export_metrics
-from cardamomrun_control.newest_number import ROUTING_KEY, NewestNumber
+from cardamomrun_control.newest_number import NewestNumber
 from cardamomrun_control.routing_state import (
     RETIRED_COUNT,
     PutRouting,
@@ -47,7 +48,7 @@
 from cardamomrun_control.storage import DurableLog, Recovery
 from cardamomrun_control.voter_keeper import VoterKeeper
 
-__all__ = ["ROUTING_KEY", "RoutingControl", "retirement_counter"]
+__all__ = ["RoutingControl", "retirement_counter"]
 
 ROUND_MS = 200
 # Clients of the control interface wait one second for an instance, so the leader must
--- a/packages/cardamomrun-control/tests/test_routing_service.py
+++ b/packages/cardamomrun-control/tests/test_routing_service.py
@@ -4,9 +4,15 @@
 
 from cardamomrun_base.errors import DocumentError, UnavailableError
 from cardamomrun_base.messages import ConfirmedNumber
-from cardamomrun_base.model import BackendPhase, Record, RecordKind, RoutedServerBody
+from cardamomrun_base.model import (
+    ROUTING_KEY,
+    BackendPhase,
+    Record,
+    RecordKind,
+    RoutedServerBody,
+)
 from cardamomrun_control.newest_number import SHARED_MS, NewestNumberRequest
-from cardamomrun_control.routing_service import RECOVERY_SPACING_MS, ROUTING_KEY
+from cardamomrun_control.routing_service import RECOVERY_SPACING_MS
 from cardamomrun_control.status import LEADER_KEY
 
 from .builders import RoutingCluster, real_time, retry, routing, until
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/document_check.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/document_check.py
@@ -17,7 +17,13 @@
 from cardamomrun_base.interfaces import Fleet
 from cardamomrun_base.logs import ComponentLog
 from cardamomrun_base.messages import ConfirmedNumber, DocumentRequest
-from cardamomrun_base.model import MemberBody, MemberPhase, Record, RecordKind
+from cardamomrun_base.model import (
+    ROUTING_KEY,
+    MemberBody,
+    MemberPhase,
+    Record,
+    RecordKind,
+)
 from cardamomrun_base.settings import Role
 from cardamomrun_gateway import metrics
 from cardamomrun_gateway.load_reports import LoadReports
@@ -30,7 +36,6 @@
 # Older instances ignore datagrams of a kind that they don't know.
 ASK = b"\x0d"
 ANSWER = b"\x0e"
-ROUTING_KEY = "routing"
 QUESTION_FORMAT = struct.Struct("!I")
 # Question, number of the newest document, its age in ms.
 ANSWER_FORMAT = struct.Struct("!IqI")
@@ -141,7 +146,7 @@
                 self._log_change(was_current)
 
     def _is_question_due(self) -> bool:
-        """Return True unless the last question was answered a short time ago."""
+        """Return False for a while after a question that was answered."""
         if not self.is_current or self._question in self._asked_ms:
             return True
         age_ms = self._clock.now_ms() - self._last_asked_ms
