Decode load messages into named tuples

Cause: an entry instance decodes the messages of the relays of all failure domains many times a second. Each server load and each end became a frozen data class, whose construction goes through `object.__setattr__` field by field, and each end called the enumeration: 757 ns, against 34 ns for a look-up in a dict.

Change: the four records of which messages hold many are named tuples, and ends are looked up by number. `ServerLoad.count` is called `attempt_count`, since a tuple has a method `count`; the tests of the collector change in that name only. A new test checks that an unknown end is still refused, with the same kind of error; it passes on the code before as well.

Ruled out: one JSON encoder for all log lines (8.0 to 6.2 us of 24 us a line, too little at the 187 lines that an instance wrote in 8 s of load).

--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/domain_collector.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/domain_collector.py
@@ -186,7 +186,7 @@
     ) -> None:
         self._end_count += 1
         tag = instance_key(instance_id) & TAG_MASK
-        self._ended.append(DomainEnd(tag, replace(end, sequence=self._end_count)))
+        self._ended.append(DomainEnd(tag, end._replace(sequence=self._end_count)))
         self._ended_ms.append(now_ms)
 
     def _add_counts(self, load: InstanceLoad, before: InstanceLoad | None) -> None:
@@ -237,9 +237,9 @@
         stop = min(len(self._ended), start + MESSAGE_END_COUNT)
         ends = []
         for index in range(start, stop):
-            end = self._ended[index]
-            age_ms = end.ended.age_ms + now_ms - self._ended_ms[index]
-            ends.append(replace(end, ended=replace(end.ended, age_ms=age_ms)))
+            tag, end = self._ended[index]
+            age_ms = end.age_ms + now_ms - self._ended_ms[index]
+            ends.append(DomainEnd(tag, end._replace(age_ms=age_ms)))
         return tuple(ends)
 
     def _counts_due(
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/fleet_load.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/fleet_load.py
@@ -393,32 +393,26 @@
     ) -> None:
         own = own_report(relay.own_sequence) if relay.own_sequence else None
         others = {}
-        for server_load in load.in_flight or ():
-            count = server_load.count
+        for key, count, _, accepted_ms in load.in_flight or ():
             if own is not None:
-                count -= own.in_flight.get(server_load.server_key, 0)
+                count -= own.in_flight.get(key, 0)
             if count > 0:
-                others[server_load.server_key] = count
-            server = self._by_key.get(server_load.server_key)
-            if server is not None and server_load.accepted_ms is not None:
-                server.health.record_accepted(now_ms - server_load.accepted_ms)
+                others[key] = count
+            server = self._by_key.get(key)
+            if server is not None and accepted_ms is not None:
+                server.health.record_accepted(now_ms - accepted_ms)
         self._replace_counts(relay, others)
 
     def _merge_ends(self, relay: _Relay, load: DomainLoad, now_ms: float) -> None:
-        for domain_end in load.ended:
-            ended = domain_end.ended
+        for tag, ended in load.ended:
             if ended.sequence <= relay.last_end:
                 continue
             relay.last_end = ended.sequence
             server = self._by_key.get(ended.server_key)
             # Own ends were recorded when they came.
-            if (
-                server is not None
-                and domain_end.instance_tag != self.own_key & TAG_MASK
-            ):
+            if server is not None and tag != self.own_key & TAG_MASK:
                 ended_ms = now_ms - ended.age_ms
                 started_ms = ended_ms - ended.duration_ms
-                tag = domain_end.instance_tag
                 self._record_end(server, ended.end, started_ms, ended_ms, tag)
 
     def _record_end(
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/load_messages.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/load_messages.py
@@ -52,6 +52,7 @@
 BYTE_MAX = 255
 DURATION_MAX_MS = 65_535
 NEVER_ACCEPTED = 255
+END_BY_NUMBER = {int(end): end for end in AttemptEnd}
 
 
 def service_key(service: str) -> int:
@@ -91,7 +92,7 @@
             tuple(InFlightAttempt(int(key), float(age)) for key, age in in_flight),
             tuple(
                 EndedAttempt(
-                    int(seq), int(key), AttemptEnd(end), float(duration), float(age)
+                    int(seq), int(key), END_BY_NUMBER[end], float(duration), float(age)
                 )
                 for seq, key, end, duration, age in ended
                 if seq > known_end
@@ -101,7 +102,7 @@
                 for key, n, retries in counts
             ),
         )
-    except (ValueError, TypeError, cbor2.CBORError) as error:
+    except (ValueError, TypeError, KeyError, cbor2.CBORError) as error:
         raise ValueError(f"not a load report: {error}") from error
 
 
@@ -126,7 +127,7 @@
             accepted = _in_units(
                 server_load.accepted_ms, ACCEPTED_UNIT_MS, NEVER_ACCEPTED - 1
             )
-        count = min(BYTE_MAX, server_load.count)
+        count = min(BYTE_MAX, server_load.attempt_count)
         oldest = _in_units(server_load.oldest_ms, OLDEST_UNIT_MS)
         parts.append(SERVER_LOAD.pack(server_load.server_key, count, oldest, accepted))
     if load.ended:
@@ -151,7 +152,7 @@
     """Return the relay message in `data`, or raise `ValueError`."""
     try:
         return _decode_domain_load(data)
-    except (struct.error, ValueError) as error:
+    except (struct.error, ValueError, KeyError) as error:
         raise ValueError(f"not a load message of a relay: {error}") from error
 
 
@@ -193,7 +194,7 @@
                 EndedAttempt(
                     first + index,
                     key,
-                    AttemptEnd(end),
+                    END_BY_NUMBER[end],
                     float(duration_ms),
                     age * END_AGE_UNIT_MS,
                 ),
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/load_model.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/load_model.py
@@ -1,6 +1,7 @@
 """The load reports and messages that instances exchange."""
 
 from dataclasses import dataclass
+from typing import NamedTuple
 
 import xxhash
 
@@ -25,16 +26,14 @@
     return xxhash.xxh32_intdigest(instance_id.encode())
 
 
-@dataclass(frozen=True)
-class InFlightAttempt:
+class InFlightAttempt(NamedTuple):
     """An attempt at a server that has not ended."""
 
     server_key: int
     age_ms: float
 
 
-@dataclass(frozen=True)
-class EndedAttempt:
+class EndedAttempt(NamedTuple):
     """The end of an attempt; `sequence` counts the ends that one sender reports."""
 
     sequence: int
@@ -68,8 +67,7 @@
     counts: tuple[ServiceCount, ...] = ()
 
 
-@dataclass(frozen=True)
-class ServerLoad:
+class ServerLoad(NamedTuple):
     """The attempts in flight at a server from the instances of one domain.
 
     `oldest_ms` is the age of the oldest one, `accepted_ms` that of the latest one that
@@ -77,13 +75,12 @@
     """
 
     server_key: int
-    count: int
+    attempt_count: int
     oldest_ms: float
     accepted_ms: float | None
 
 
-@dataclass(frozen=True)
-class DomainEnd:
+class DomainEnd(NamedTuple):
     """An end and the lower 16 bits of the key of the instance that reported it."""
 
     instance_tag: int
--- a/packages/cardamomrun-gateway/tests/test_domain_collector.py
+++ b/packages/cardamomrun-gateway/tests/test_domain_collector.py
@@ -26,7 +26,9 @@
         return self.collector.next_message(self.receivers)
 
     def attempt_counts(self):
-        return {load.server_key: load.count for load in self.message().in_flight}
+        return {
+            load.server_key: load.attempt_count for load in self.message().in_flight
+        }
 
     def sent(self):
         return [end.ended.sequence for end in self.message().ended]
@@ -42,10 +44,10 @@
     )
     fixture.clock.advance_ms(5)
     loads = {load.server_key: load for load in fixture.message().in_flight}
-    assert (loads[SERVER].count, loads[SERVER].oldest_ms) == (3, 905.0)
+    assert (loads[SERVER].attempt_count, loads[SERVER].oldest_ms) == (3, 905.0)
     # An attempt of 45 ms counts as accepted, one of 8 ms does not.
     assert loads[SERVER].accepted_ms == 45.0
-    assert (loads[OTHER].count, loads[OTHER].accepted_ms) == (1, None)
+    assert (loads[OTHER].attempt_count, loads[OTHER].accepted_ms) == (1, None)
 
 
 def test_a_late_report_is_dropped():
--- a/packages/cardamomrun-gateway/tests/test_load_reports.py
+++ b/packages/cardamomrun-gateway/tests/test_load_reports.py
@@ -58,6 +58,15 @@
         decode_load(data)
 
 
+def test_an_unknown_end_is_rejected():
+    load = instance_report("e1", 3, ended=[(5, 7, 99, 12.0, 3.0)])
+    with pytest.raises(ValueError, match="not a load report"):
+        decode_load(encode_load(load))
+    message = relay_message("relay", 3, ended=[(4, 2, 99, 1.0, 70.0)])
+    with pytest.raises(ValueError, match="not a load message"):
+        decode_domain_load(encode_domain_load(message))
+
+
 def test_a_relay_message_survives_its_encoding():
     load = relay_message(
         "relay", 3, in_flight=[(1, 2, 150.0, 25.0), (2**32 - 1, 255, 0.0, None)],
