Sum up reports and encode ages on a relay with fewer calls

Two or three calls of `min` and `max` for each attempt and each encoded age were most of the cost.

Change: comparisons in place of these calls; the results are the same.

--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/domain_collector.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/domain_collector.py
@@ -4,6 +4,7 @@
 not with the number of instances that report.
 """
 
+import math
 from collections import deque
 from dataclasses import dataclass, field, replace
 
@@ -13,7 +14,6 @@
     DomainEnd,
     DomainLoad,
     EndedAttempt,
-    InFlightAttempt,
     InstanceLoad,
     ServerLoad,
     ServiceCount,
@@ -207,13 +207,13 @@
         accepted_ms: dict[int, float] = {}
         for reporter in self._reporters.values():
             since_ms = now_ms - reporter.last_received_ms
-            attempt: InFlightAttempt
-            for attempt in reporter.load.in_flight:
-                key, age_ms = attempt.server_key, attempt.age_ms + since_ms
+            for key, age_ms in reporter.load.in_flight:
+                age_ms += since_ms
                 counts[key] = counts.get(key, 0) + 1
-                oldest_ms[key] = max(oldest_ms.get(key, 0.0), age_ms)
-                if age_ms > ACCEPTED_MS:
-                    accepted_ms[key] = min(accepted_ms.get(key, age_ms), age_ms)
+                if age_ms > oldest_ms.setdefault(key, 0.0):
+                    oldest_ms[key] = age_ms
+                if ACCEPTED_MS < age_ms < accepted_ms.get(key, math.inf):
+                    accepted_ms[key] = age_ms
         return tuple(
             ServerLoad(key, count, oldest_ms[key], accepted_ms.get(key))
             for key, count in counts.items()
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/load_messages.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/load_messages.py
@@ -229,7 +229,10 @@
 
 
 def _in_units(value_ms: float, unit_ms: float, max_units: int = BYTE_MAX) -> int:
-    return min(max_units, max(0, round(value_ms / unit_ms)))
+    units = round(value_ms / unit_ms)
+    if units < 0:
+        return 0
+    return units if units < max_units else max_units
 
 
 def batches(bodies: list[bytes]) -> Iterable[bytes]:
