Keep the ports taken at which tests expect refusals

Cause, as far as it can be shown: refusing_address gave a port that was free and could be taken again, among others by the servers that the same test starts next. That this happened in the failed run is inferred, not recorded.

Change: the address is bound and not listened at, so it refuses and can't be taken. The checks are the same.

--- a/packages/cardamomrun-gateway/tests/test_lost_paths.py
+++ b/packages/cardamomrun-gateway/tests/test_lost_paths.py
@@ -45,7 +45,10 @@
 
 @contextlib.contextmanager
 def refusing_address():
-    yield f"127.0.0.1:{free_port()}"
+    # The port stays taken: a server of the test could get it otherwise.
+    with socket.socket() as holder:
+        holder.bind(("127.0.0.1", 0))
+        yield f"127.0.0.1:{holder.getsockname()[1]}"
 
 
 @contextlib.contextmanager
