Log what an instance knows of the retry budget, and changes of its relay

A line a second and service has the counted requests and repeats, the reserve and the limit; a metric counts what the budget allowed.

--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/load_reports.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/load_reports.py
@@ -23,6 +23,7 @@
 from cardamomrun_base.interfaces import Fleet
 from cardamomrun_base.logs import ComponentLog
 from cardamomrun_base.settings import GatewaySettings, NodeSettings, Role
+from cardamomrun_gateway import metrics
 from cardamomrun_gateway.domain_collector import DomainCollector
 from cardamomrun_gateway.fleet_load import FleetLoad, Server
 from cardamomrun_gateway.load_messages import (
@@ -43,7 +44,7 @@
     collect_ms,
 )
 from cardamomrun_gateway.report_routes import ReportRoutes
-from cardamomrun_gateway.retry_budget import RetryBudget
+from cardamomrun_gateway.retry_budget import BudgetState, RetryBudget
 from cardamomrun_gateway.server_health import AttemptEnd
 
 __all__ = ["LoadReports"]
@@ -63,6 +64,8 @@
 # domain to send it copies, for `COPY_MS` each time.
 NO_BATCH_MS = 500.0
 COPY_MS = 1_500.0
+# Shortest time between two lines of the log about the retry budget of a service.
+BUDGET_LOG_MS = 1_000.0
 REPORT = b"\x01"
 URGENT_REPORT = b"\x02"
 LOCAL_BATCH = b"\x03"
@@ -108,6 +111,7 @@
         self._copy_until_ms: dict[Address, float] = {}
         self._last_flush_ms = float("-inf")
         self._handlers: dict[bytes, DatagramHandler] = {}
+        self._budget_logged_ms: dict[str, float] = {}
 
     async def start(self, incarnation: int) -> None:
         """Open the port; `incarnation` identifies this run of the instance.
@@ -180,7 +184,11 @@
 
     def allows_retry(self, service: str) -> bool:
         """Return True if a retry fits the fleet's budget."""
-        return self._budget.allows_retry(service_key(service))
+        state = self._budget.state(service_key(service))
+        decision = "allowed" if state.allows_retry else "refused"
+        metrics.RETRY_DECISIONS.labels(service, decision).inc()
+        self._log_budget(service, state)
+        return state.allows_retry
 
     def attempt_started(self, server: Server) -> int:
         """Count an attempt in flight; return the token that identifies it."""
@@ -298,6 +306,22 @@
             else:
                 del self._copy_until_ms[address]
 
+    def _log_budget(self, service: str, state: BudgetState) -> None:
+        now_ms = self._clock.now_ms()
+        if now_ms - self._budget_logged_ms.get(service, -BUDGET_LOG_MS) < BUDGET_LOG_MS:
+            return
+        self._budget_logged_ms[service] = now_ms
+        _log.info(
+            "looked up the retry budget",
+            service=service,
+            allows_retry=state.allows_retry,
+            requests=state.requests,
+            retries=state.retries,
+            unreported=state.unreported,
+            limit=round(state.limit, 1),
+            instances=self._budget.instance_count,
+        )
+
     def _count(self, service: str, requests: int, retries: int) -> None:
         key = service_key(service)
         self._own_load.count(key, requests, retries)
@@ -318,6 +342,9 @@
         if relay != self._relay:
             self._leave_relay(self._relay)
             self._relay = relay
+            _log.info(
+                "reports to another relay", relay=None if relay is None else relay[0]
+            )
         for address in pinged:
             self.send(PING, address)
         if relay == self._routes.own_address:
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/metrics.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/metrics.py
@@ -16,6 +16,7 @@
     "RELAYED",
     "REQUESTS",
     "REQUEST_SECONDS",
+    "RETRY_DECISIONS",
     "SERVER_NOTICES",
 ]
 
@@ -44,6 +45,11 @@
     "Requests that were refused without an attempt that ran, by reason.",
     ("service", "reason"),
 )
+RETRY_DECISIONS = Counter(
+    "cardamomrun_routed_retry_decisions",
+    "Looks at the fleet's retry budget, by what it allowed.",
+    ("service", "decision"),
+)
 CONNECTIONS = Counter(
     "cardamomrun_routed_connections",
     "Connections opened to backend servers.",
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/retry_budget.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/retry_budget.py
@@ -1,12 +1,12 @@
 """The budget of retries and hedged attempts, which all instances share."""
 
 from collections import deque
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 from cardamomrun_base.clock import Clock
 from cardamomrun_base.settings import GatewaySettings
 
-__all__ = ["RetryBudget"]
+__all__ = ["BudgetState", "RetryBudget"]
 
 # Counts of other instances arrive up to this late: 300 ms until they are reported, and
 # 250 ms and a pause of 300 ms on the way. What they spend meanwhile is not known yet.
@@ -19,6 +19,26 @@
 BUCKET_COUNT = 10
 
 
+@dataclass(frozen=True)
+class BudgetState:
+    """What an instance knows of the budget of one service.
+
+    `requests` and `retries` are those of the window; `unreported` is what other
+    instances are assumed to have spent since their last counts, `limit` what all may
+    spend together.
+    """
+
+    requests: float
+    retries: float
+    unreported: float
+    limit: float
+
+    @property
+    def allows_retry(self) -> bool:
+        """True if one more retry fits."""
+        return self.retries + self.unreported + 1 <= self.limit
+
+
 class RetryBudget:
     """Limits the retries of the whole fleet by its requests in a sliding window.
 
@@ -39,22 +59,30 @@
         )
 
     def allows_retry(self, service_key: int) -> bool:
-        """Return True if one more retry of a service fits the budget.
+        """Return True if one more retry of a service fits the budget."""
+        return self.state(service_key).allows_retry
+
+    def state(self, service_key: int) -> BudgetState:
+        """Return what is known of the budget of a service.
 
         What others have spent and not reported yet is assumed to be what was received
         of them in `COUNT_DELAY_MS`, or what this instance spent for each of them.
         """
-        window = self._windows.get(service_key)
-        if window is None:
-            return True
         now_ms = self._clock.now_ms()
-        requests, retries = window.sums(now_ms)
-        received, own = window.recent_retries(now_ms)
-        retries += max(received, own * (self.instance_count - 1))
+        requests, retries, received, own = 0.0, 0.0, 0, 0
+        window = self._windows.get(service_key)
+        if window is not None:
+            requests, retries = window.sums(now_ms)
+            received, own = window.recent_retries(now_ms)
         settings = self._settings
         allowed = settings.retry_ratio * requests + settings.retry_slack_count
-        unreported = min(self.instance_count - 1, UNREPORTED_RATIO * allowed)
-        return retries + 1 <= allowed * (1 - RESERVE_RATIO) - unreported
+        reserve = min(self.instance_count - 1, UNREPORTED_RATIO * allowed)
+        return BudgetState(
+            requests,
+            retries,
+            max(received, own * (self.instance_count - 1)),
+            allowed * (1 - RESERVE_RATIO) - reserve,
+        )
 
     def count(
         self, service_key: int, requests: int, retries: int, *, is_own: bool = True
