--- a/packages/cardamomrun-gateway/tests/builders.py
+++ b/packages/cardamomrun-gateway/tests/builders.py
@@ -94,16 +94,23 @@
 
 
 class FakeFleet:
-    """A fleet with one record store, whose members are those in `listed`."""
+    """A fleet with one record store, whose members are those in `listed`.
+
+    `failed` are members that it considers failed.
+    """
 
     def __init__(self, instance_id="c1", members=()):
         self.instance_id = instance_id
         self.store = FakeStore()
         self.listed = list(members)
+        self.failed = []
 
     def members(self):
         return self.listed
 
+    def known_members(self):
+        return self.listed + self.failed
+
 
 def member(name, domain="kelowna-a", phase=MemberPhase.SERVING, port=1):
     return MemberBody(
@@ -331,7 +338,7 @@
 
 
 @contextlib.asynccontextmanager
-async def gateway(*servers, content=None, grace_ms=GRACE_MS, **changes):
+async def gateway(*servers, content=None, name="e1", grace_ms=GRACE_MS, **changes):
     """Run a gateway front for scripted servers with the ids `b1`, `b2` and so on.
 
     `changes` are those of the settings.
@@ -341,7 +348,7 @@
         port = await server.start()
         bodies.append(server_body(f"b{index + 1}", address=f"127.0.0.1:{port}"))
     content = content or document(routes=ROUTES)
-    running = Gateway(content, bodies, grace_ms=grace_ms, **changes)
+    running = Gateway(content, bodies, name, grace_ms, **changes)
     await running.front.start()
     try:
         yield running
--- a/packages/cardamomrun-gateway/tests/test_domain_collector.py
+++ b/packages/cardamomrun-gateway/tests/test_domain_collector.py
@@ -122,6 +122,16 @@
     assert fixture.message().counts == (ServiceCount(SERVER, 74, 3),)
 
 
+def test_requests_from_before_a_change_of_relay_are_not_counted_as_recent():
+    """Guards against a retry budget that grows by an instance's whole history."""
+    fixture = CollectorFixture()
+    fixture.collector.merge(instance_report("e1", 7))
+    for sequence, requests in ((8, 1_000), (9, 1_010)):
+        counts = [ServiceCount(SERVER, requests, requests // 10)]
+        fixture.collector.merge(instance_report("e1", sequence, counts=counts))
+    assert fixture.message().counts == (ServiceCount(SERVER, 10, 1),)
+
+
 def test_messages_at_rest_are_small():
     """Guards against over 6 kB/s at rest, with six domains of 46 instances."""
     fixture = CollectorFixture()
--- a/packages/cardamomrun-gateway/tests/test_load_reports.py
+++ b/packages/cardamomrun-gateway/tests/test_load_reports.py
@@ -1,4 +1,5 @@
 import asyncio
+import contextlib
 import socket
 from dataclasses import replace
 
@@ -13,6 +14,7 @@
     decode_load,
     encode_domain_load,
     encode_load,
+    service_key,
     split_batch,
 )
 from cardamomrun_gateway.load_model import ServiceCount
@@ -31,6 +33,7 @@
 from cardamomrun_gateway.server_health import AttemptEnd
 
 from .builders import (
+    SERVICE,
     FakeFleet,
     gateway_settings,
     instance_report,
@@ -179,9 +182,9 @@
         self.settings = gateway_settings(name, domain, roles, peer_port=port)
         self.load = FleetLoad(self.clock, self.fleet.store, name)
         self.fleet.store.put(server_record(server_body("b1")))
-        budget = RetryBudget(GatewaySettings(), self.clock)
+        self.budget = RetryBudget(GatewaySettings(), self.clock)
         self.reports = LoadReports(
-            self.settings, self.clock, self.fleet, self.load, budget
+            self.settings, self.clock, self.fleet, self.load, self.budget
         )
 
     @property
@@ -262,6 +265,91 @@
     asyncio.run(main())
 
 
+REQUEST_PAUSE_S = 0.02
+
+
+async def serve_requests(instances, seconds):
+    """Count a request and a retry at each instance in each `REQUEST_PAUSE_S`."""
+    count = 0
+    loop = asyncio.get_running_loop()
+    end = loop.time() + seconds
+    while loop.time() < end:
+        for instance in instances:
+            instance.reports.count_request(SERVICE)
+            instance.reports.count_retry(SERVICE)
+            token = instance.reports.attempt_started(instance.server)
+            instance.reports.attempt_ended(token, instance.server, AttemptEnd.GOOD)
+        count += len(instances)
+        await asyncio.sleep(REQUEST_PAUSE_S)
+    return count
+
+
+@contextlib.asynccontextmanager
+async def domain(count, **settings):
+    """Run the load reports of the entry instances of one domain."""
+    ports = free_ports(count)
+    listed = [member(f"e{i}", port=port) for i, port in enumerate(ports)]
+    instances = [Instance(f"e{i}", "kelowna-a", port) for i, port in enumerate(ports)]
+    for instance in instances:
+        instance.fleet.listed = list(listed)
+        instance.budget.update_settings(GatewaySettings(**settings))
+        await instance.reports.start(1)
+    tasks = [asyncio.create_task(i.reports.run()) for i in instances]
+    try:
+        yield instances
+    finally:
+        for task in tasks:
+            task.cancel()
+        for instance in instances:
+            instance.reports.stop()
+
+
+def test_changes_of_the_relay_change_no_count_of_the_retry_budget():
+    """Guards against retries beyond the budget after a relay was frozen."""
+
+    async def main():
+        async with domain(4) as instances:
+            address = relay_order(instances[0].fleet.listed)[0]
+            (relay,) = (i for i in instances if i.settings.peer_port == address[1])
+            others = [instance for instance in instances if instance is not relay]
+            counted = await serve_requests(instances, 1.5)
+            for _ in range(2):
+                relay.reports.stop()
+                counted += await serve_requests(others, 1.2)
+                await relay.reports.start(1)
+                counted += await serve_requests(instances, 1.2)
+            await asyncio.sleep(1.0)
+            for instance in others:
+                state = instance.budget.state(service_key(SERVICE))
+                assert state.requests <= counted
+                # What was reported to a relay as it failed may be missing.
+                assert 0.8 * counted <= state.retries <= 1.1 * counted
+
+    asyncio.run(main())
+
+
+def test_an_instance_that_hears_nobody_spends_no_more_than_its_share():
+    """Guards against a retry budget that each part of a divided fleet spends."""
+
+    async def main():
+        async with domain(2, retry_slack_count=60) as instances:
+            first = instances[0]
+            others = [member(f"e{n}", port=n) for n in range(2, 44)]
+            first.fleet.failed = first.fleet.listed[1:] + others
+            first.fleet.listed = first.fleet.listed[:1]
+            await asyncio.sleep(0.6)
+            allowed_count = 0
+            first.reports.count_request(SERVICE)
+            for _ in range(60):
+                if first.reports.allows_retry(SERVICE):
+                    first.reports.count_retry(SERVICE)
+                    allowed_count += 1
+                await asyncio.sleep(0.05)
+            assert allowed_count <= 5
+
+    asyncio.run(main())
+
+
 async def until(condition):
     async with asyncio.timeout(WAIT_S):
         while not condition():
--- a/packages/cardamomrun-gateway/tests/test_lost_paths.py
+++ b/packages/cardamomrun-gateway/tests/test_lost_paths.py
@@ -331,6 +331,30 @@
     asyncio.run(main())
 
 
+def test_a_request_that_servers_refused_needs_budget_to_run_elsewhere():
+    """Guards against retries at another instance that nobody counts."""
+
+    async def main():
+        released = asyncio.Event()
+        steps = [Step(not_run(), response_released=released)]
+        refusing, serving = ScriptedServer(steps), ScriptedServer([Step(response())])
+        async with gateway(refusing) as running, gateway(serving, name="e2") as other:
+            for instance, name in ((running, "e2"), (other, "e1")):
+                port = (other if name == "e2" else running).settings.front_port
+                instance.fleet.listed = [member(name, port=port)]
+            for _ in range(100):
+                running.reports.count_retry(SERVICE)
+            call = asyncio.create_task(running.call("POST", "/b/x", b"body"))
+            await until(lambda: refusing.heads)
+            running.paths.are_lost = True
+            released.set()
+            received = await call
+            assert (received.status, received.outcome) == (503, "not-run")
+            assert serving.heads == []
+
+    asyncio.run(main())
+
+
 # A link of 3.9 Mbit/s needs this long for an upload of 290 kB. Until then whatever the
 # instance sends or receives waits behind it.
 LINK_MBPS = 3.9
--- a/packages/cardamomrun-gateway/tests/test_retry_budget.py
+++ b/packages/cardamomrun-gateway/tests/test_retry_budget.py
@@ -80,6 +80,51 @@
     assert most >= min(retries_per_s * 10 * 0.7, allowed * 0.6)
 
 
+def spend_at(shared, clock, now_ms):
+    clock.advance_ms(now_ms - clock.now_ms())
+    return spend(shared)
+
+
+@pytest.mark.parametrize("offset_ms", [0, 500, 900, 990])
+def test_bursts_less_than_a_window_apart_share_one_budget(offset_ms):
+    """Guards against a window that forgets its oldest retries before its end."""
+    shared, clock = budget()
+    start_ms = 70_000 + offset_ms
+    clock.advance_ms(start_ms - clock.now_ms())
+    shared.count(KEY, 500, 0)
+    first = spend(shared)
+    clock.advance_ms(9_000)
+    shared.count(KEY, 500, 0)
+    assert first + spend_at(shared, clock, start_ms + 9_990) <= 0.2 * 500 + 20
+
+
+@pytest.mark.parametrize("restarted_count", [4, 44])
+def test_instances_that_start_again_do_not_spend_the_budget_again(restarted_count):
+    """Guards against a window that is empty after a start, though the fleet's is not."""
+    clock = ManualClock(50_000.0)
+    settings = GatewaySettings(retry_slack_count=200)
+    fleet = [RetryBudget(settings, clock) for _ in range(44)]
+    spent, requests = [], 20
+    for second in range(40):
+        if second == 25:
+            fleet[:restarted_count] = [
+                RetryBudget(settings, clock) for _ in range(restarted_count)
+            ]
+        for own_budget in fleet:
+            own_budget.instance_count = len(fleet)
+            own_budget.count(KEY, requests, 0)
+        for index, own_budget in enumerate(fleet * 4):
+            if own_budget.allows_retry(KEY):
+                spent.append(second)
+                for other in fleet:
+                    is_own = other is fleet[index % len(fleet)]
+                    other.count(KEY, 0, 1, is_own=is_own)
+        clock.advance_ms(1_000)
+    allowed = 0.2 * 10 * requests + 200
+    windows = [sum(s <= at < s + 10 for at in spent) for s in range(10, 31)]
+    assert max(windows) <= allowed
+
+
 def test_old_retries_leave_the_window():
     shared, clock = budget()
     shared.count(KEY, 100, 0)
