Charge the retry budget for a refused request that runs at another instance

An instance that lost its paths while servers refused a request had another instance run it, whose first attempt was free though a server had received the request before. The instance that asks takes the budget now, as for an attempt of its own; so do further instances not come into it once servers have received the request at the one asked.

--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/dispatch.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/dispatch.py
@@ -423,18 +423,17 @@
         `_RequestFailedError` if there is no such response.
         """
         assert self._last_failure is not None
-        if self._should_run_elsewhere():
-            return await self._run_elsewhere(routed)
-        if self._tools.paths.are_lost and not self._may_have_run:
+        if self._tools.paths.are_lost and not self._has_arrived:
             self._refuse_if_relayed()
-        if not self._may_start_next(routed):
+        if self._should_run_elsewhere() and self._take_retry():
+            return await self._run_elsewhere(routed)
+        if not self._may_start_next(routed) or not self._take_retry():
             return self._last_response(self._last_failure, routed)
-        if self._has_arrived:
-            self._tools.attempt_tools.reports.count_retry(self._service)
         try:
             await self._start_attempt(routed)
         except _RequestFailedError:
-            if self._may_have_run:
+            # Some refusals make the instance that asked for this one ask another.
+            if self._may_have_run or (self._is_relayed and self._has_arrived):
                 return self._last_response(self._last_failure, routed)
             raise
         return None
@@ -444,12 +443,18 @@
             return False
         if self._not_run_count >= NOT_RUN_LIMIT or not self._is_resendable():
             return False
-        if self._is_blocked():
-            return False
+        return not self._is_blocked()
+
+    def _take_retry(self) -> bool:
+        """Charge the budget for another arrival; return False if it has none left."""
         if not self._has_arrived:
             # The budget is for arrivals at servers beyond the first of a request.
             return True
-        return self._tools.attempt_tools.reports.allows_retry(self._service)
+        reports = self._tools.attempt_tools.reports
+        if not reports.allows_retry(self._service):
+            return False
+        reports.count_retry(self._service)
+        return True
 
     def _last_response(
         self, last: NotExecuted | ResponseLost, routed: RoutedRequest
