Keep retries in the window of the budget for its whole length

Retries were summed in buckets of a second, and a bucket left as its first moment became ten seconds old: a burst at the end of a second was forgotten up to a second too soon, and another one could follow it within the window. Retries are kept with their times now. Requests stay in buckets, of a quarter of a second; a bucket that has partly left does not count, which errs to fewer retries.

--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/retry_budget.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/retry_budget.py
@@ -16,7 +16,8 @@
 # Each other instance may spend one retry before its count shows that nothing is left.
 # This share bounds what that takes from a small budget in a large fleet.
 UNREPORTED_RATIO = 0.2
-BUCKET_COUNT = 10
+# Requests are counted in buckets; one that has partly left the window does not count.
+BUCKET_COUNT = 40
 
 
 @dataclass(frozen=True)
@@ -42,8 +43,8 @@
 class RetryBudget:
     """Limits the retries of the whole fleet by its requests in a sliding window.
 
-    A retry is any attempt of a request after its first. `instance_count` is how many
-    instances share the budget.
+    A retry is an attempt of a request of which a server may have received an earlier
+    one. `instance_count` is how many instances share the budget.
     """
 
     def __init__(self, settings: GatewaySettings, clock: Clock) -> None:
@@ -69,19 +70,17 @@
         of them in `COUNT_DELAY_MS`, or what this instance spent for each of them.
         """
         now_ms = self._clock.now_ms()
-        requests, retries, received, own = 0.0, 0.0, 0, 0
+        requests, retries, unreported = 0.0, 0.0, 0
         window = self._windows.get(service_key)
         if window is not None:
             requests, retries = window.sums(now_ms)
             received, own = window.recent_retries(now_ms)
+            unreported = max(received, own * (self.instance_count - 1))
         settings = self._settings
         allowed = settings.retry_ratio * requests + settings.retry_slack_count
         reserve = min(self.instance_count - 1, UNREPORTED_RATIO * allowed)
         return BudgetState(
-            requests,
-            retries,
-            max(received, own * (self.instance_count - 1)),
-            allowed * (1 - RESERVE_RATIO) - reserve,
+            requests, retries, unreported, allowed * (1 - RESERVE_RATIO) - reserve
         )
 
     def count(
@@ -90,49 +89,53 @@
         """Count requests and retries of a service."""
         window = self._windows.get(service_key)
         if window is None:
-            bucket_ms = self._settings.retry_window_ms / BUCKET_COUNT
-            window = self._windows[service_key] = _Window(bucket_ms)
+            window = _Window(self._settings.retry_window_ms)
+            self._windows[service_key] = window
         window.add(self._clock.now_ms(), requests, retries, is_own=is_own)
 
 
 class _Window:
-    """Sums over the last `BUCKET_COUNT` buckets."""
+    """Requests and retries of one service in the last `window_ms`."""
 
-    def __init__(self, bucket_ms: float) -> None:
-        self._bucket_ms = bucket_ms
-        self._buckets: deque[list[float]] = deque()
-        self._recent_retries: deque[tuple[float, int, bool]] = deque()
+    def __init__(self, window_ms: float) -> None:
+        self._window_ms = window_ms
+        self._bucket_ms = window_ms / BUCKET_COUNT
+        self._request_buckets: deque[list[float]] = deque()
+        self._own_retries: deque[tuple[float, int]] = deque()
+        self._received_retries: deque[tuple[float, int]] = deque()
 
     def add(self, now_ms: float, requests: int, retries: int, *, is_own: bool) -> None:
-        """Add to the current bucket."""
+        """Add requests and retries that are known from now on."""
         self._drop_old(now_ms)
         if retries:
-            self._recent_retries.append((now_ms, retries, is_own))
+            spent = self._own_retries if is_own else self._received_retries
+            spent.append((now_ms, retries))
         start_ms = now_ms - now_ms % self._bucket_ms
-        if not self._buckets or self._buckets[-1][0] != start_ms:
-            self._buckets.append([start_ms, 0, 0])
-        self._buckets[-1][1] += requests
-        self._buckets[-1][2] += retries
+        buckets = self._request_buckets
+        if not buckets or buckets[-1][0] != start_ms:
+            buckets.append([start_ms, 0])
+        buckets[-1][1] += requests
 
     def sums(self, now_ms: float) -> tuple[float, float]:
         """Return the requests and retries in the window."""
         self._drop_old(now_ms)
-        return sum(b[1] for b in self._buckets), sum(b[2] for b in self._buckets)
+        retries = sum(n for _, n in self._own_retries)
+        retries += sum(n for _, n in self._received_retries)
+        return sum(requests for _, requests in self._request_buckets), retries
 
     def recent_retries(self, now_ms: float) -> tuple[int, int]:
         """Return the retries of others and of this instance in `COUNT_DELAY_MS`."""
-        while (
-            self._recent_retries
-            and self._recent_retries[0][0] <= now_ms - COUNT_DELAY_MS
-        ):
-            self._recent_retries.popleft()
-        received = sum(
-            retries for _, retries, is_own in self._recent_retries if not is_own
-        )
-        own = sum(retries for _, retries, is_own in self._recent_retries if is_own)
+        recent_ms = now_ms - COUNT_DELAY_MS
+        received = sum(n for at_ms, n in self._received_retries if at_ms > recent_ms)
+        own = sum(n for at_ms, n in self._own_retries if at_ms > recent_ms)
         return received, own
 
     def _drop_old(self, now_ms: float) -> None:
-        oldest_ms = now_ms - self._bucket_ms * BUCKET_COUNT
-        while self._buckets and self._buckets[0][0] <= oldest_ms:
-            self._buckets.popleft()
+        oldest_ms = now_ms - self._window_ms
+        for entries in (
+            self._request_buckets,
+            self._own_retries,
+            self._received_retries,
+        ):
+            while entries and entries[0][0] <= oldest_ms:
+                entries.popleft()
