--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/own_load.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/own_load.py
@@ -85,11 +85,19 @@
         self._counts[service_key] = (before[0] + requests, before[1] + retries)
 
     def begin_at_relay(self, known_counts: dict[int, tuple[int, int]]) -> None:
-        """Begin to report to another relay, with the counts that others have already.
+        """Begin to report to another relay, which counts what came since the base.
 
-        The next report has these, so that the relay counts what came since then.
+        The next report has the base: the requests that the last relay may know, and the
+        retries that others know by `known_counts`. What is between the two may count
+        twice as a retry and not at all as a request, so it never allows more retries.
         """
-        self._base = {key: known_counts.get(key, (0, 0)) for key in self._counts}
+        self._base = {
+            key: (
+                self._sent_counts.get(key, (0, 0))[0],
+                known_counts.get(key, (0, 0))[1],
+            )
+            for key in self._counts
+        }
         self._is_base_due = True
 
     def next_report(self) -> InstanceLoad:
