Leave the part of the retry budget that an instance can't know to others

Cause: a window that began empty at a start was taken for a fleet that had spent nothing, and members that were considered failed were left out of those who share the budget. After a kill of all instances the slack could be spent again; an instance that hears nobody kept no reserve and had the budget of the fleet for itself, as had each side of a cut.

Change: from its start an instance uses its own share of the slack, and the rest as its window fills. Failed members share the budget until their record is dropped, and an instance that no relay has named for two seconds is assumed to spend what this one does.

Price: instances use a part of the slack less while others are down.

--- a/packages/cardamomrun-base/src/cardamomrun_base/interfaces.py
+++ b/packages/cardamomrun-base/src/cardamomrun_base/interfaces.py
@@ -94,6 +94,12 @@
     def members(self) -> list[MemberBody]:
         """Return the instances that are neither gone nor considered failed."""
 
+    def known_members(self) -> list[MemberBody]:
+        """Return the instances that are not gone, with those considered failed.
+
+        One that is considered failed may only be unreachable from here.
+        """
+
     def may_be_behind(self) -> bool:
         """Return True while this instance knows that it may lack newer records."""
 
--- a/packages/cardamomrun-bench/src/cardamomrun_bench/claim_cost.py
+++ b/packages/cardamomrun-bench/src/cardamomrun_bench/claim_cost.py
@@ -84,6 +84,9 @@
     def members(self) -> list[MemberBody]:
         return []
 
+    def known_members(self) -> list[MemberBody]:
+        return []
+
     def add_address(self, instance_id: InstanceId, peer_address: str) -> None:
         pass
 
--- a/packages/cardamomrun-fleet/src/cardamomrun_fleet/fleet.py
+++ b/packages/cardamomrun-fleet/src/cardamomrun_fleet/fleet.py
@@ -259,6 +259,10 @@
         """Return the instances that are neither gone nor considered failed."""
         return self.membership.members()
 
+    def known_members(self) -> list[MemberBody]:
+        """Return the instances that are not gone, with those considered failed."""
+        return [body for body in self.membership.all_members() if _is_not_gone(body)]
+
     def may_be_behind(self) -> bool:
         """Return True while this instance may lack records that the fleet accepted.
 
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/load_reports.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/load_reports.py
@@ -64,6 +64,8 @@
 # domain to send it copies, for `COPY_MS` each time.
 NO_BATCH_MS = 500.0
 COPY_MS = 1_500.0
+# An instance that no relay has named for this long may spend retries that nobody counts.
+UNHEARD_MS = 2_000.0
 # Shortest time between two lines of the log about the retry budget of a service.
 BUDGET_LOG_MS = 1_000.0
 REPORT = b"\x01"
@@ -147,7 +149,7 @@
         while True:
             self._load.run_maintenance()
             self._domain_relay.drop_silent()
-            self._budget.instance_count = self.entry_count
+            self._update_budget()
             if not is_reporting:
                 self._request_copies()
             if (
@@ -306,6 +308,17 @@
             else:
                 del self._copy_until_ms[address]
 
+    def _update_budget(self) -> None:
+        now_ms = self._clock.now_ms()
+        others = self._routes.known_entry_ids()
+        last_seen_ms = (self._load.last_seen_ms(name) for name in others)
+        silent_since_ms = [
+            float("-inf") if seen_ms is None else seen_ms
+            for seen_ms in last_seen_ms
+            if seen_ms is None or now_ms - seen_ms > UNHEARD_MS
+        ]
+        self._budget.update_instances(len(others) + 1, silent_since_ms)
+
     def _log_budget(self, service: str, state: BudgetState) -> None:
         now_ms = self._clock.now_ms()
         if now_ms - self._budget_logged_ms.get(service, -BUDGET_LOG_MS) < BUDGET_LOG_MS:
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/report_routes.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/report_routes.py
@@ -2,7 +2,12 @@
 
 from cardamomrun_base.clock import Clock
 from cardamomrun_base.interfaces import Fleet
-from cardamomrun_base.model import DEFAULT_LINK_MBPS, MemberBody, MemberPhase
+from cardamomrun_base.model import (
+    DEFAULT_LINK_MBPS,
+    InstanceId,
+    MemberBody,
+    MemberPhase,
+)
 from cardamomrun_base.settings import NodeSettings, Role
 from cardamomrun_gateway.report_relays import (
     REMOTE_SILENT_MS,
@@ -40,6 +45,15 @@
         self._remote_selectors: dict[str, RelaySelector] = {}
         self._selectors: dict[Address, RelaySelector] = {}
 
+    def known_entry_ids(self) -> list[InstanceId]:
+        """Return the other entry instances, with those considered failed."""
+        return [
+            member.instance_id
+            for member in self._fleet.known_members()
+            if Role.ENTRY in member.roles
+            and member.instance_id != self._fleet.instance_id
+        ]
+
     @property
     def remote_domain_count(self) -> int:
         """How many other failure domains are known."""
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/retry_budget.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/retry_budget.py
@@ -1,6 +1,13 @@
-"""The budget of retries and hedged attempts, which all instances share."""
+"""The budget of retries and hedged attempts, which all instances share.
 
+An instance knows what it spends itself and, later, what others report. What it can't
+know counts as spent: what instances that are not heard of may do, and what was spent
+before this instance started.
+"""
+
+from bisect import bisect_left
 from collections import deque
+from collections.abc import Sequence
 from dataclasses import dataclass, replace
 
 from cardamomrun_base.clock import Clock
@@ -50,7 +57,9 @@
     def __init__(self, settings: GatewaySettings, clock: Clock) -> None:
         self._settings = settings
         self._clock = clock
+        self._started_ms = clock.now_ms()
         self.instance_count = 1
+        self._silent_since_ms: Sequence[float] = ()
         self._windows: dict[int, _Window] = {}
 
     def update_settings(self, settings: GatewaySettings) -> None:
@@ -59,6 +68,14 @@
             settings, retry_window_ms=self._settings.retry_window_ms
         )
 
+    def update_instances(self, count: int, silent_since_ms: Sequence[float]) -> None:
+        """Set how many instances share the budget, and since when some are silent.
+
+        Unreachable instances share it too: they may be on the other side of a cut.
+        """
+        self.instance_count = count
+        self._silent_since_ms = sorted(silent_since_ms)
+
     def allows_retry(self, service_key: int) -> bool:
         """Return True if one more retry of a service fits the budget."""
         return self.state(service_key).allows_retry
@@ -67,7 +84,8 @@
         """Return what is known of the budget of a service.
 
         What others have spent and not reported yet is assumed to be what was received
-        of them in `COUNT_DELAY_MS`, or what this instance spent for each of them.
+        of them in `COUNT_DELAY_MS`, or what this instance spent for each of them. An
+        instance that is silent for longer is assumed to spend what this one does.
         """
         now_ms = self._clock.now_ms()
         requests, retries, unreported = 0.0, 0.0, 0
@@ -76,8 +94,8 @@
             requests, retries = window.sums(now_ms)
             received, own = window.recent_retries(now_ms)
             unreported = max(received, own * (self.instance_count - 1))
-        settings = self._settings
-        allowed = settings.retry_ratio * requests + settings.retry_slack_count
+            unreported += self._assumed_of_silent(window, now_ms)
+        allowed = self._settings.retry_ratio * requests + self._slack(now_ms)
         reserve = min(self.instance_count - 1, UNREPORTED_RATIO * allowed)
         return BudgetState(
             requests, retries, unreported, allowed * (1 - RESERVE_RATIO) - reserve
@@ -93,6 +111,24 @@
             self._windows[service_key] = window
         window.add(self._clock.now_ms(), requests, retries, is_own=is_own)
 
+    def _slack(self, now_ms: float) -> float:
+        """Return the slack for the part of the window since this instance started.
+
+        From its start it may use its own share.
+        """
+        known_ratio = (now_ms - self._started_ms) / self._settings.retry_window_ms
+        share = max(min(1.0, known_ratio), 1 / self.instance_count)
+        return self._settings.retry_slack_count * share
+
+    def _assumed_of_silent(self, window: "_Window", now_ms: float) -> int:
+        if not self._silent_since_ms:
+            return 0
+        return sum(
+            retries * bisect_left(self._silent_since_ms, at_ms)
+            for at_ms, retries in window.own_retries(now_ms)
+            if at_ms <= now_ms - COUNT_DELAY_MS
+        )
+
 
 class _Window:
     """Requests and retries of one service in the last `window_ms`."""
@@ -130,6 +166,11 @@
         own = sum(n for at_ms, n in self._own_retries if at_ms > recent_ms)
         return received, own
 
+    def own_retries(self, now_ms: float) -> Sequence[tuple[float, int]]:
+        """Return the times of the own retries in the window, and how many each."""
+        self._drop_old(now_ms)
+        return self._own_retries
+
     def _drop_old(self, now_ms: float) -> None:
         oldest_ms = now_ms - self._window_ms
         for entries in (
