Take counts after two seconds of silence for old, and after an own pause give the base anew

Found by reading the change: an instance that was itself paused is forgotten by its relay and did not give its base again, and the fixed ten seconds could exceed a shorter window of the budget. Of counts that come after two seconds of silence only the retries count now. The sums of one relay have their own method.

--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/domain_collector.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/domain_collector.py
@@ -20,7 +20,7 @@
     instance_key,
 )
 
-__all__ = ["ACCEPTED_MS", "DomainCollector", "ReceiverGroup"]
+__all__ = ["ACCEPTED_MS", "SILENT_INSTANCE_MS", "DomainCollector", "ReceiverGroup"]
 
 # A server resets a request within a few milliseconds; an attempt older than this was
 # accepted.
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/fleet_load.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/fleet_load.py
@@ -61,7 +61,9 @@
 PATH_BLOCK_FIRST_MS = 1_000.0
 PATH_BLOCK_MAX_MS = 5_000.0
 # Counts of a relay that was not heard for longer may be of requests that are not recent.
-RECENT_COUNTS_MS = 10_000.0
+RECENT_COUNTS_MS = 2_000.0
+# For this long after its start an instance hears relays that have run before it.
+FIRST_COUNTS_MS = 10_000.0
 # Runs of servers that this instance remembers as left, the latest ones.
 RETIRED_COUNT = 10_000
 
@@ -156,6 +158,24 @@
     counts: dict[int, tuple[int, int]] = field(default_factory=dict)
     own_counts: dict[int, tuple[int, int]] = field(default_factory=dict)
 
+    def add(
+        self, service_key: int, counts: tuple[int, int], own: ReportedState | None
+    ) -> tuple[int, int]:
+        """Replace the counts of a service; return what others have added to them.
+
+        `own` is the state of this instance in the new counts, None if it has no part.
+        """
+        old_requests, old_retries = self.counts.get(service_key, (0, 0))
+        self.counts[service_key] = counts
+        requests, retries = counts[0] - old_requests, counts[1] - old_retries
+        if own is not None:
+            own_requests, own_retries = own.counts.get(service_key, (0, 0))
+            known = self.own_counts.get(service_key, (0, 0))
+            base = own.base.get(service_key, (0, 0))
+            requests -= own_requests - max(known[0], base[0])
+            retries -= own_retries - max(known[1], base[1])
+        return max(0, requests), max(0, retries)
+
 
 class FleetLoad:
     """The backend servers of all routed services, with their load and health.
@@ -504,42 +524,24 @@
         """
         if not load.counts:
             return {}
-        before = self._counts_by_relay.get(load.relay_key)
-        is_first = before is None or before.incarnation != load.incarnation
-        if before is None or is_first:
-            before = _RelayCounts(load.incarnation, float("-inf"))
-            self._counts_by_relay[load.relay_key] = before
-        is_recent = now_ms - before.last_received_ms <= RECENT_COUNTS_MS
-        before.last_received_ms = now_ms
-        has_just_started = now_ms - self._started_ms < RECENT_COUNTS_MS
-        own_counts = before.own_counts if own is None else own.counts
+        relay = self._counts_by_relay.get(load.relay_key)
+        is_first = relay is None or relay.incarnation != load.incarnation
+        if relay is None or is_first:
+            relay = _RelayCounts(load.incarnation, float("-inf"))
+            self._counts_by_relay[load.relay_key] = relay
+        is_recent = now_ms - relay.last_received_ms <= RECENT_COUNTS_MS
+        relay.last_received_ms = now_ms
         counts_by_service = {}
         for key, request_count, retry_count in load.counts:
-            old_requests, old_retries = before.counts.get(key, (0, 0))
-            own_now = own_counts.get(key, (0, 0))
-            own_old = before.own_counts.get(key, (0, 0))
-            if own is not None:
-                base = own.base.get(key, (0, 0))
-                own_old = max(own_old[0], base[0]), max(own_old[1], base[1])
-            requests = request_count - old_requests - (own_now[0] - own_old[0])
-            retries = retry_count - old_retries - (own_now[1] - own_old[1])
-            before.counts[key] = (request_count, retry_count)
-            if is_first and has_just_started:
-                continue
-            counts_by_service[key] = (
-                max(0, requests) if is_recent else 0,
-                max(0, retries),
-            )
-        before.own_counts = dict(own_counts)
+            requests, retries = relay.add(key, (request_count, retry_count), own)
+            counts_by_service[key] = (requests if is_recent else 0, retries)
         if own is not None:
-            self._add_included(own.counts)
+            relay.own_counts = own.counts
+            _raise_counts(self.included_counts, own.counts)
+        if is_first and now_ms - self._started_ms < FIRST_COUNTS_MS:
+            return {}
         return counts_by_service
 
-    def _add_included(self, counts: dict[int, tuple[int, int]]) -> None:
-        for key, (requests, retries) in counts.items():
-            known = self.included_counts.get(key, (0, 0))
-            self.included_counts[key] = max(requests, known[0]), max(retries, known[1])
-
     def _record_duration(self, server: Server, duration_ms: float) -> None:
         server.record_duration(duration_ms)
         service = server.body.service
@@ -609,6 +611,15 @@
     return load.incarnation > relay.incarnation or is_over
 
 
+def _raise_counts(
+    counts: dict[int, tuple[int, int]], others: dict[int, tuple[int, int]]
+) -> None:
+    """Raise counts to those of `others` that are higher."""
+    for key, (requests, retries) in others.items():
+        known = counts.get(key, (0, 0))
+        counts[key] = max(requests, known[0]), max(retries, known[1])
+
+
 def _same_run(first: RoutedServerBody, second: RoutedServerBody) -> bool:
     return (
         first.incarnation == second.incarnation
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/load_reports.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/load_reports.py
@@ -24,7 +24,10 @@
 from cardamomrun_base.logs import ComponentLog
 from cardamomrun_base.settings import GatewaySettings, NodeSettings, Role
 from cardamomrun_gateway import metrics
-from cardamomrun_gateway.domain_collector import DomainCollector
+from cardamomrun_gateway.domain_collector import (
+    SILENT_INSTANCE_MS,
+    DomainCollector,
+)
 from cardamomrun_gateway.fleet_load import FleetLoad, Server
 from cardamomrun_gateway.load_messages import (
     batches,
@@ -348,11 +351,14 @@
 
     def _flush(self, *, is_urgent: bool = False) -> None:
         self._flush_due = False
-        self._last_flush_ms = self._clock.now_ms()
+        now_ms = self._clock.now_ms()
+        # The relay forgets an instance that was paused for this long.
+        was_paused = now_ms - self._last_flush_ms > SILENT_INSTANCE_MS
+        self._last_flush_ms = now_ms
         self._routes.refresh()
         relay, pinged = self._routes.own_relay()
         has_changed = relay != self._relay
-        if has_changed:
+        if has_changed or was_paused:
             self._own_load.begin_at_relay(self._load.included_counts)
         report = self._own_load.next_report()
         if has_changed:
