Check the retry budget in the soak

Each arrival at a server counts now, and the end of a run checks each window of ten seconds against the share and the slack that the instances' settings state.

--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -1,6 +1,7 @@
 """Records what callers and backend servers see, and checks the guarantees on it."""
 
 import time
+from bisect import bisect_right
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 
@@ -32,6 +33,11 @@
 # unplanned fault came later than `STABILITY_S` before the request.
 AFTER_GRACE_S = 1.0
 STABILITY_S = 3.0
+# Servers get at most this share of the requests of a window, and the slack, as arrivals
+# beyond the first of a request. The settings of the instances say the same.
+RETRY_RATIO = 0.2
+RETRY_SLACK_COUNT = 62
+RETRY_WINDOW_S = 10.0
 # A request that no server ran may be lost if its connection ends this soon.
 LOSS_SLACK_S = 0.2
 
@@ -68,6 +74,9 @@
     runs: dict[str, list[tuple[str, float]]] = field(
         default_factory=lambda: defaultdict(list)
     )
+    arrivals_s: dict[str, list[float]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
     statuses: dict[str, int] = field(default_factory=dict)
     departed_s: dict[str, float] = field(default_factory=dict)
     faults: list[str] = field(default_factory=list)
@@ -86,6 +95,32 @@
     served_count: int = 0
     caller_errors: Counter[str] = field(default_factory=Counter)
 
+    def record_arrival(self, request_id: str) -> None:
+        """Record that a server received a request, whatever it does with it."""
+        self.arrivals_s[request_id].append(time.monotonic())
+
+    def check_retries(self) -> None:
+        """Check the retry budget in each window; call after the run."""
+        retries_s = sorted(
+            at_s for times in self.arrivals_s.values() for at_s in times[1:]
+        )
+        sent_s = sorted(at_s for _, at_s in self.sent_to.values())
+        for end_s in retries_s:
+            count = _count_between(retries_s, end_s - RETRY_WINDOW_S, end_s)
+            request_count = max(
+                _count_between(
+                    sent_s, end_s - earlier_s - RETRY_WINDOW_S, end_s - earlier_s
+                )
+                for earlier_s in (0.0, RETRY_WINDOW_S / 2, RETRY_WINDOW_S)
+            )
+            allowed_count = RETRY_RATIO * request_count + RETRY_SLACK_COUNT
+            if count > allowed_count:
+                self._append_violation(
+                    f"servers got {count} retries in the {RETRY_WINDOW_S} s before "
+                    f"{end_s:.3f}, {allowed_count:.0f} are allowed"
+                )
+                return
+
     def record_run(self, request_id: str, server_id: str, seen: SentRequest) -> None:
         """Record that a server began to run a request, and check that it may."""
         now_s = time.monotonic()
@@ -223,3 +258,7 @@
     def record_violation(self, text: str) -> None:
         """Record a violated guarantee that was found elsewhere."""
         self._append_violation(text)
+
+
+def _count_between(times_s: list[float], from_s: float, until_s: float) -> int:
+    return bisect_right(times_s, until_s) - bisect_right(times_s, from_s)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -113,6 +113,7 @@
         await asyncio.gather(*working)
         await self._check_final_read()
         self.ledger.check_lost()
+        self.ledger.check_retries()
 
     async def add_server(self) -> None:
         number = len(self.servers) + 1
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -162,6 +162,7 @@
         mode = server.mode
         request_id = headers.get("Cardamomrun-Attempt-Id", "")
         self.set_header("Cardamomrun-Attempt-Id", request_id)
+        self._ledger.record_arrival(request_id)
         if headers.get("Cardamomrun-Expect-Instance") != server.server_id:
             self._refuse(421)
             return
