Let all servers shed in the soak while entry instances pause in turn

In half of the seeds all servers now refuse seven of ten requests for some seconds, while pauses change the relay of the counts.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -1,6 +1,7 @@
 """Draws faults from a seed and injects them into a running soak."""
 
 import asyncio
+import itertools
 import random
 import signal
 import time
@@ -19,6 +20,7 @@
     "draw_limits",
     "draw_notices",
     "draw_series",
+    "draw_shedding",
 ]
 
 KINDS = (
@@ -29,6 +31,10 @@
 # Planned too, and drawn apart.
 APART_KINDS = ("limit", "roll", "rest", "leave")
 FAULTY_MODES = tuple(mode for mode in ServerMode if mode is not ServerMode.HEALTHY)
+# Share of the requests that servers refuse while they shed.
+SHED_RATIO = 0.7
+# An instance that pauses for this long is replaced as relay of its failure domain.
+SHED_PAUSE_S = 0.7
 # The grace time of 6 s, pauses that overlap it, and a slow start on a loaded machine.
 STOP_LIMIT_S = 12.0
 
@@ -105,6 +111,20 @@
     ]
 
 
+def draw_shedding(seed: int, duration_s: float) -> list[Fault]:
+    """Return when all servers refuse most requests; in half of the seeds."""
+    rng = random.Random(f"shedding of {seed}")
+    return [
+        Fault(
+            "shed",
+            rng.uniform(0.3, 0.7) * duration_s,
+            rng.uniform(0.3, 0.5) * duration_s,
+            rng.randrange(1_000_000),
+        )
+        for _ in range(rng.choice((0, 1)))
+    ]
+
+
 class FaultInjector:
     """Injects faults into the processes and connections of one run."""
 
@@ -259,6 +279,25 @@
         await asyncio.sleep(fault.length_s)
         server.mode = ServerMode.HEALTHY
 
+    async def _shed(self, fault: Fault) -> None:
+        """Let all servers refuse most requests while entry instances pause in turn."""
+        self._ledger.record_fault(f"all servers shed for {fault.length_s:.1f} s")
+        end_s = time.monotonic() + fault.length_s
+        for server in self._servers:
+            server.refused_ratio = SHED_RATIO
+        for number in itertools.count(fault.selector):
+            if time.monotonic() >= end_s:
+                break
+            instance = self._instances.entry[number % len(self._instances.entry)]
+            instance.signal(signal.SIGSTOP)
+            self._ledger.record_restart(instance.ip)
+            await asyncio.sleep(SHED_PAUSE_S)
+            instance.signal(signal.SIGCONT)
+            self._ledger.record_restart(instance.ip)
+            await asyncio.sleep(SHED_PAUSE_S)
+        for server in self._servers:
+            server.refused_ratio = 0.0
+
     async def _limit(self, fault: Fault) -> None:
         """Let a backend server name a limit of 1 to 8 requests a second for a while."""
         server = self._selected_server(fault)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -20,7 +20,14 @@
 from cardamomrun_bench.caller import ClientError, PooledClient
 
 from ..adapter.builders import manifest, route_fields
-from .faults import FaultInjector, draw_faults, draw_limits, draw_notices, draw_series
+from .faults import (
+    FaultInjector,
+    draw_faults,
+    draw_limits,
+    draw_notices,
+    draw_series,
+    draw_shedding,
+)
 from .ledger import Ledger, LostRequest, SentRequest
 from .machines import FRONT_PORT, READY_PORT, Instances
 from .servers import SLOTS, StandInServer
@@ -106,6 +113,8 @@
         faults += draw_limits(options.seed, options.duration_s)
         faults += draw_series(options.seed, options.duration_s)
         faults += draw_notices(options.seed, options.duration_s)
+        if not options.is_planned:
+            faults += draw_shedding(options.seed, options.duration_s)
         await asyncio.gather(*(injector.inject(fault) for fault in faults))
         await injector.heal()
         await self._check_recovery()
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -55,6 +55,8 @@
         self.pause_until_s = 0.0
         self.pause_says_not_run = True
         self.is_leaving = False
+        # Share of the requests that the server refuses as too busy.
+        self.refused_ratio = 0.0
         self.relay: Relay | None = None
         self._host = host
         self._ledger = ledger
@@ -95,6 +97,10 @@
         """Return a random service time for the next request."""
         return self._random.uniform(*SERVICE_TIME_RANGE_S)
 
+    def draws_refusal(self) -> bool:
+        """Return True if the next request is refused as too busy."""
+        return self.refused_ratio > 0 and self._random.random() < self.refused_ratio
+
     async def _announce_until_drained(self) -> None:
         target = self._random.choice(self._control)
         while True:
@@ -169,7 +175,7 @@
         if time.monotonic() < server.pause_until_s:
             self._ask_for_pause(request_id)
             return
-        if mode is ServerMode.REFUSES:
+        if mode is ServerMode.REFUSES or server.draws_refusal():
             self._refuse(503)
             return
         if mode is ServerMode.RESETS:
