--- a/packages/cardamomrun-gateway/tests/test_fleet_load.py
+++ b/packages/cardamomrun-gateway/tests/test_fleet_load.py
@@ -181,6 +181,17 @@
     assert merge(load, "relay", 10, counts=counts) == {KEY: (10, 1)}
 
 
+def test_counts_after_a_silence_of_their_relay_allow_no_retries(load, clock):
+    """Guards against a retry budget that grows by requests of a time long past."""
+    merge(load, "relay", 1, counts=[ServiceCount(KEY, 100, 10)])
+    clock.advance_ms(30_000)
+    counts = [ServiceCount(KEY, 900, 30)]
+    assert merge(load, "relay", 2, counts=counts) == {KEY: (0, 20)}
+    clock.advance_ms(250)
+    counts = [ServiceCount(KEY, 911, 32)]
+    assert merge(load, "relay", 3, counts=counts) == {KEY: (11, 2)}
+
+
 def test_an_unreachable_server_is_blocked_on_this_instance_only(load, clock):
     """Guards against a network fault of one instance that removes a server for all."""
     server = load.get("b1")
--- a/packages/cardamomrun-gateway/tests/test_load_reports.py
+++ b/packages/cardamomrun-gateway/tests/test_load_reports.py
@@ -332,6 +332,29 @@
     asyncio.run(main())
 
 
+def test_retries_before_a_pause_of_an_instance_are_counted_after_it(monkeypatch):
+    """Guards against retries lost because the relay forgot the instance meanwhile."""
+
+    async def main():
+        async with domain(3) as instances:
+            address = relay_order(instances[0].fleet.listed)[0]
+            others = [i for i in instances if i.settings.peer_port != address[1]]
+            paused, watching = others
+            for instance in instances:
+                instance.clock.offset_ms = LONG_AFTER_START_MS
+            counted = await serve_requests(instances, 1.0)
+            with monkeypatch.context() as pause:
+                pause.setattr(paused.reports, "_flush", lambda **_: None)
+                for _ in range(20):
+                    paused.reports.count_retry(SERVICE)
+                await asyncio.sleep(1.5)
+            await asyncio.sleep(1.0)
+            state = watching.budget.state(service_key(SERVICE))
+            assert counted + 15 <= state.retries <= counted + 40
+
+    asyncio.run(main())
+
+
 def test_an_instance_that_hears_nobody_spends_no_more_than_its_share():
     """Guards against a retry budget that each part of a divided fleet spends."""
 
