--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/dispatch.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/dispatch.py
@@ -1,21 +1,18 @@
 """Runs one routed request from its head to the end of its response, in one task."""
 
 import asyncio
-import random
-from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
-from tornado.httputil import HTTPHeaders
 from tornado.iostream import StreamClosedError
 
 from cardamomrun_base import headers as names
 from cardamomrun_base.clock import MS_PER_S
 from cardamomrun_base.logs import ComponentLog
 from cardamomrun_base.outcomes import NotRun, Outcome, Unknown
-from cardamomrun_base.routing_document import RoutingRoute
 from cardamomrun_gateway import metrics
 from cardamomrun_gateway.crash_guard import CrashGuard, RequestIdentity
 from cardamomrun_gateway.fleet_load import FleetLoad, Server
+from cardamomrun_gateway.forwarding import forward_response, name_server
 from cardamomrun_gateway.paths import OwnPaths, PeerPaths
 from cardamomrun_gateway.permits import Permit, Permits
 from cardamomrun_gateway.placement import (
@@ -24,7 +21,13 @@
     Placement,
     PlacementCriteria,
 )
-from cardamomrun_gateway.rate_limit import ReturnTimes
+from cardamomrun_gateway.refusals import (
+    RETRY_SOON_S,
+    Refusals,
+    RequestFailedError,
+    refusal,
+)
+from cardamomrun_gateway.request_admission import RequestAdmission
 from cardamomrun_gateway.request_relay import (
     LEAVING_KIND,
     PATHS_LOST_KIND,
@@ -43,7 +46,6 @@
 from cardamomrun_gateway.table import RoutingTable
 from cardamomrun_requests.background import BackgroundTasks
 from cardamomrun_requests.body_channel import IncompleteBodyError
-from cardamomrun_requests.framing import has_no_body
 from cardamomrun_requests.reply import ResponseWriter
 from cardamomrun_requests.request import BodyTooLargeError, ClientRequest
 
@@ -52,21 +54,8 @@
 # Share of its objective for which a request waits for a server with a free slot. After
 # that it is refused, while the client still has time to retry.
 HOLD_RATIO = 0.125
-# Retry-After of a refusal, as a share of the expected response time: a slot gets free
-# within about one of these.
-RETRY_AFTER_RATIO = 0.5
-# Retry-After of a refusal that is independent of the load: other servers have room.
-RETRY_SOON_S = 0.2
 # Retry-After of a request that crashed servers; it stays refused for minutes.
 RETRY_AFTER_CRASHES_S = 60.0
-# Longest Retry-After while all servers pause; others may start meanwhile.
-RETRY_AFTER_PAUSE_S = 60.0
-# Retry-After of an instance that has just started; it has the document from its peers
-# by then.
-RETRY_AFTER_START_S = 0.3
-# Retry-After of a request without a route while a newer document may have one. Another
-# instance may know; where control is unreachable, none does.
-RETRY_AFTER_UNCONFIRMED_S = 0.5
 # Time after the deadline for a response that a server sent at the deadline.
 DEADLINE_GRACE_MS = 40.0
 # Limit for the attempts of one request that no server ran; the attempt count of the
@@ -90,17 +79,8 @@
     peers: PeerPaths
     background: BackgroundTasks
     shutdown: Shutdown
-    has_newest_document: Callable[[], bool]
-    return_times: dict[str, ReturnTimes] = field(default_factory=dict)
-
-
-class _RequestFailedError(Exception):
-    """Ends the request with an error response of the gateway itself."""
-
-    def __init__(self, kind: str, outcome: Outcome) -> None:
-        super().__init__(kind)
-        self.kind = kind
-        self.outcome = outcome
+    admission: RequestAdmission
+    refusals: Refusals
 
 
 class RequestDispatch:
@@ -158,7 +138,10 @@
 
     async def _run(self, arrived_ms: float) -> None:
         try:
-            routed = self._resolve(arrived_ms)
+            routed = self._tools.admission.admit(
+                self._request, arrived_ms, is_relayed=self._is_relayed
+            )
+            self._service = routed.service
             self._check_shutdown(routed)
             if self._tools.paths.are_lost:
                 # Leads the client to another instance with its next request.
@@ -174,8 +157,15 @@
                     response = await self._run_elsewhere(routed)
                 else:
                     response = await self._run_attempts(routed)
-                await self._forward_response(response)
-        except _RequestFailedError as failure:
+                if self._is_relayed and self._responder is not None:
+                    name_server(self._responder, self._reply)
+                await forward_response(
+                    self._request,
+                    response,
+                    self._reply,
+                    self._tools.attempt_tools.link,
+                )
+        except RequestFailedError as failure:
             await self._send_error(failure)
         except TimeoutError:
             self._check_unfinished()
@@ -186,46 +176,14 @@
                 "send a smaller body or raise the limit",
                 413,
             )
-            await self._send_error(_RequestFailedError("body-too-large", outcome))
+            await self._send_error(RequestFailedError("body-too-large", outcome))
         await self._reply.finish()
 
-    def _resolve(self, arrived_ms: float) -> RoutedRequest:
-        request = self._request
-        document = self._tools.table.document
-        if document is None:
-            raise _refusal(
-                "no-document", "No routing document is known yet.", RETRY_AFTER_START_S
-            )
-        host = request.headers.get("Host", "")
-        route = self._tools.table.match(host, request.path)
-        if route is None:
-            raise self._no_route_error()
-        request.body.max_bytes = document.limits.body_bytes
-        self._service = self._tools.table.choose_service(route)
-        if not self._is_relayed:
-            self._tools.attempt_tools.reports.count_request(self._service)
-        deadline_ms = arrived_ms + self._time_limit_ms(route)
-        return RoutedRequest(
-            request, route, self._service, document.number, arrived_ms, deadline_ms
-        )
-
-    def _no_route_error(self) -> _RequestFailedError:
-        if not self._tools.has_newest_document():
-            return _refusal(
-                "document-unconfirmed",
-                "No route has this host and path; a newer document may have one.",
-                RETRY_AFTER_UNCONFIRMED_S,
-            )
-        outcome = NotRun(
-            "No route has this host and path.", "add a route to the document", 404
-        )
-        return _RequestFailedError("no-route", outcome)
-
     def _check_crashes(self) -> None:
         self._identity = RequestIdentity.of(self._request, self._client)
         if self._is_blocked():
             metrics.REFUSALS.labels(self._service, "crashes").inc()
-            raise _refusal(
+            raise refusal(
                 "crashes",
                 "Backend servers crashed while running this request.",
                 RETRY_AFTER_CRASHES_S,
@@ -245,7 +203,7 @@
         )
         metrics.REFUSALS.labels(self._service, LEAVING_KIND).inc()
         has_other = self._tools.peers.choose(set()) is not None
-        raise _refusal(
+        raise refusal(
             LEAVING_KIND,
             "This instance stops.",
             0.0 if has_other else left_ms / MS_PER_S,
@@ -280,19 +238,10 @@
                 # It responded to a later attempt, so it had not crashed by then.
                 self._tools.crash_guard.watch(attempt.server, self._identity)
 
-    def _time_limit_ms(self, route: RoutingRoute) -> float:
-        requested = self._request.headers.get(
-            self._tools.attempt_tools.header_names.deadline_ms, ""
-        )
-        try:
-            return max(1.0, min(float(requested), route.timeout_ms))
-        except ValueError:
-            return route.timeout_ms
-
     def _refuse_if_relayed(self) -> None:
         if self._is_relayed:
             reason = "This instance can't reach backend servers either."
-            raise _refusal(PATHS_LOST_KIND, reason, RETRY_SOON_S)
+            raise refusal(PATHS_LOST_KIND, reason, RETRY_SOON_S)
 
     def _should_run_elsewhere(self) -> bool:
         """Return True if this instance can't reach servers and another one may."""
@@ -305,7 +254,7 @@
         )
 
     async def _run_elsewhere(self, routed: RoutedRequest) -> ServerResponse:
-        """Have another instance run the request; raise `_RequestFailedError` if none."""
+        """Have another instance run the request; raise `RequestFailedError` if none."""
         self._check_shutdown(routed)
         self._relay = RequestRelay(
             self._clock,
@@ -319,10 +268,12 @@
         if isinstance(result, ServerResponse):
             return result
         self._may_have_run = isinstance(result, ResponseLost)
-        raise self._failure_error(result, routed)
+        raise self._tools.refusals.attempts_failed(
+            result, routed, may_have_run=self._may_have_run
+        )
 
     async def _run_attempts(self, routed: RoutedRequest) -> ServerResponse:
-        """Return the response for the client, or raise `_RequestFailedError`."""
+        """Return the response for the client, or raise `RequestFailedError`."""
         await self._start_attempt(routed)
         while True:
             await self._wait(routed)
@@ -420,7 +371,7 @@
         """Start another attempt after failed ones and return None.
 
         If there can be none, returns the error response of a server, or raises
-        `_RequestFailedError` if there is no such response.
+        `RequestFailedError` if there is no such response.
         """
         assert self._last_failure is not None
         if self._tools.paths.are_lost and not self._has_arrived:
@@ -431,7 +382,7 @@
             return self._last_response(self._last_failure, routed)
         try:
             await self._start_attempt(routed)
-        except _RequestFailedError:
+        except RequestFailedError:
             # Some refusals make the instance that asked for this one ask another.
             if self._may_have_run or (self._is_relayed and self._has_arrived):
                 return self._last_response(self._last_failure, routed)
@@ -461,7 +412,9 @@
     ) -> ServerResponse:
         if isinstance(last, ResponseLost) and last.response is not None:
             return last.response
-        raise self._failure_error(last, routed)
+        raise self._tools.refusals.attempts_failed(
+            last, routed, may_have_run=self._may_have_run
+        )
 
     def _may_retry(self, routed: RoutedRequest) -> bool:
         return (
@@ -527,7 +480,7 @@
         """Return the server for the next attempt, with the permit that it needs.
 
         Waits for a free slot or permit if needed. Raises `TimeoutError` at the
-        deadline, and `_RequestFailedError` after `HOLD_RATIO` of the objective, or at
+        deadline, and `RequestFailedError` after `HOLD_RATIO` of the objective, or at
         once if no permit can be free by then.
         """
         # A trial may fail, so an idempotent request must have another attempt left.
@@ -563,12 +516,12 @@
             waited_ms = limit_ms - left_ms
             pause_wait_ms = self._tools.placement.pause_wait_ms(criteria)
             if pause_wait_ms is not None and pause_wait_ms > left_ms:
-                raise self._paused_error(routed, waited_ms, pause_wait_ms)
+                raise self._tools.refusals.paused(routed, waited_ms, pause_wait_ms)
             permit_wait_ms = self._tools.placement.permit_wait_ms(criteria)
             if permit_wait_ms is not None and permit_wait_ms > left_ms:
-                raise self._no_permit_error(routed, waited_ms)
+                raise self._tools.refusals.no_permit(routed, waited_ms)
             if waited_ms >= limit_ms:
-                raise self._no_room_error(routed, waited_ms)
+                raise self._tools.refusals.no_room(routed, waited_ms)
             wait_ms = limit_ms - waited_ms
             if pause_wait_ms is not None:
                 wait_ms = min(wait_ms, pause_wait_ms)
@@ -580,138 +533,18 @@
             self._clock.now_ms()
         )
 
-    def _no_room_error(
-        self, routed: RoutedRequest, waited_ms: float
-    ) -> _RequestFailedError:
-        expected_ms = self._tools.attempt_tools.route_times.expected_ms(routed.route)
-        self._log_no_room(routed, waited_ms)
-        metrics.REFUSALS.labels(self._service, "full").inc()
-        return _refusal(
-            "full",
-            "No backend server has room.",
-            expected_ms * RETRY_AFTER_RATIO / MS_PER_S,
-        )
-
-    def _paused_error(
-        self, routed: RoutedRequest, waited_ms: float, pause_wait_ms: float
-    ) -> _RequestFailedError:
-        """Return the refusal of a request whose servers have all asked for a pause.
-
-        Clients are told to return one after the other from the end of the first pause.
-        """
-        self._log_no_room(routed, waited_ms)
-        metrics.REFUSALS.labels(self._service, "paused").inc()
-        return_times = self._tools.return_times.setdefault(
-            f"{self._service} after pauses", ReturnTimes(random.Random())
-        )
-        expected_ms = self._tools.attempt_tools.route_times.expected_ms(routed.route)
-        slots = self._tools.placement.slot_count(self._service)
-        entry_count = self._tools.attempt_tools.reports.entry_count
-        delay_ms = return_times.next_delay_ms(
-            self._clock.now_ms() + pause_wait_ms,
-            slots * MS_PER_S / expected_ms / entry_count,
-            routed.remaining_ms(self._clock) - pause_wait_ms,
-        )
-        reason = "All backend servers have asked for a pause."
-        retry_after_s = (pause_wait_ms + delay_ms) / MS_PER_S
-        return _refusal("paused", reason, min(RETRY_AFTER_PAUSE_S, retry_after_s))
-
-    def _no_permit_error(
-        self, routed: RoutedRequest, waited_ms: float
-    ) -> _RequestFailedError:
-        """Return the refusal of a request that the servers' limits leave no room for."""
-        self._log_no_room(routed, waited_ms)
-        metrics.REFUSALS.labels(self._service, "limited").inc()
-        return_times = self._tools.return_times.setdefault(
-            self._service, ReturnTimes(random.Random())
-        )
-        per_s = self._tools.placement.granted_per_s(self._service)
-        delay_ms = return_times.next_delay_ms(
-            self._clock.now_ms(),
-            per_s / self._tools.attempt_tools.reports.entry_count,
-            routed.remaining_ms(self._clock),
-        )
-        reason = "All backend servers limit their requests."
-        return _refusal("limited", reason, delay_ms / MS_PER_S)
-
-    def _log_no_room(self, routed: RoutedRequest, waited_ms: float) -> None:
-        servers = list(self._tools.load.servers_of(self._service))
-        now_ms = self._clock.now_ms()
-        _log.info(
-            "refuses a request: no backend server has room",
-            request_id=self._request.request_id,
-            route=routed.route.name,
-            service=self._service,
-            held_ms=round(waited_ms),
-            servers=len(servers),
-            doubted=sum(server.health.is_suspected for server in servers),
-            in_work=sum(server.in_flight_count for server in servers),
-            limited=sum(server.limit is not None for server in servers),
-            paused=sum(not server.pause.is_over(now_ms) for server in servers),
-        )
-
-    def _failure_error(
-        self, last: NotExecuted | ResponseLost, routed: RoutedRequest
-    ) -> _RequestFailedError:
-        if isinstance(last, NotExecuted) and not self._may_have_run:
-            retry_after_s = last.retry_after_s
-            # A server's Retry-After beyond the deadline of the request shows nothing
-            # about other servers.
-            remaining_s = routed.remaining_ms(self._clock) / MS_PER_S
-            if retry_after_s is None or retry_after_s > remaining_s:
-                retry_after_s = RETRY_SOON_S
-            metrics.REFUSALS.labels(self._service, "not-run").inc()
-            return _refusal("not-run", f"Not run: {last.reason}.", retry_after_s)
-        outcome = Unknown(
-            f"Unknown whether it was run: {last.reason}.",
-            "ask the application before sending it again",
-        )
-        return _RequestFailedError("unknown", outcome)
-
-    def _timeout_error(self) -> _RequestFailedError:
+    def _timeout_error(self) -> RequestFailedError:
         was_sent = any(attempt.may_have_run for attempt in self._running.values())
         was_sent = was_sent or (self._relay is not None and self._relay.may_have_run)
         if was_sent or self._may_have_run:
             outcome: Outcome = Unknown(
                 "No response arrived in time.", "ask the application first", 504
             )
-            return _RequestFailedError("timeout", outcome)
+            return RequestFailedError("timeout", outcome)
         reason = "The deadline passed before a server had room."
-        return _refusal("deadline", reason, RETRY_SOON_S)
-
-    async def _forward_response(self, response: ServerResponse) -> None:
-        headers = HTTPHeaders(response.headers)
-        if response.body_rest is None:
-            self._declare_length(headers, response)
-        if self._is_relayed:
-            self._name_server()
-        line = response.start_line
-        await self._reply.start(line.code, line.reason, headers, "done")
-        if response.body_start:
-            self._tools.attempt_tools.link.send(len(response.body_start))
-            await self._reply.write(response.body_start)
-        while response.body_rest is not None:
-            chunk = await response.body_rest.get()
-            if chunk is None:
-                break
-            await self._reply.write(chunk)
-
-    def _name_server(self) -> None:
-        """Tell the instance that asked which server has responded."""
-        if self._responder is not None:
-            body = self._responder.body
-            self._reply.hop_headers[names.RELAYED_SERVER] = (
-                f"{body.server_id}/{body.incarnation}"
-            )
-
-    def _declare_length(self, headers: HTTPHeaders, response: ServerResponse) -> None:
-        if has_no_body(self._request.method, response.start_line.code):
-            return
-        if "Transfer-Encoding" in headers:
-            del headers["Transfer-Encoding"]
-        headers["Content-Length"] = str(len(response.body_start))
+        return refusal("deadline", reason, RETRY_SOON_S)
 
-    async def _send_error(self, failure: _RequestFailedError) -> None:
+    async def _send_error(self, failure: RequestFailedError) -> None:
         _log.info(
             f"answers with {failure.outcome.status} {failure.kind}",
             request_id=self._request.request_id,
@@ -733,7 +566,7 @@
         )
         outcome = Unknown("An internal error.", "see the log", 500)
         try:
-            await self._send_error(_RequestFailedError("internal", outcome))
+            await self._send_error(RequestFailedError("internal", outcome))
             await self._reply.finish()
         except (asyncio.CancelledError, StreamClosedError):
             self._reply.abort()
@@ -750,8 +583,3 @@
         labels = (self._service, self._reply.outcome_tag)
         metrics.REQUESTS.labels(*labels).inc()
         metrics.REQUEST_SECONDS.labels(*labels).observe(duration_ms / MS_PER_S)
-
-
-def _refusal(kind: str, reason: str, retry_after_s: float) -> _RequestFailedError:
-    outcome = NotRun(reason, "send it again later", 503, round(retry_after_s, 3))
-    return _RequestFailedError(kind, outcome)
--- a/packages/cardamomrun-gateway/tests/builders.py
+++ b/packages/cardamomrun-gateway/tests/builders.py
@@ -50,6 +50,8 @@
 from cardamomrun_gateway.paths import OwnPaths, PeerPaths
 from cardamomrun_gateway.permits import Permits
 from cardamomrun_gateway.placement import Placement, PlacementCriteria
+from cardamomrun_gateway.refusals import Refusals
+from cardamomrun_gateway.request_admission import RequestAdmission
 from cardamomrun_gateway.retry_budget import RetryBudget
 from cardamomrun_gateway.routed_request import RouteTimes
 from cardamomrun_gateway.server_attempt import AttemptDependencies
@@ -309,7 +311,8 @@
                 self.peers,
                 BackgroundTasks(),
                 self.shutdown,
-                lambda: self.has_newest_document,
+                RequestAdmission(tools, self.table, lambda: self.has_newest_document),
+                Refusals(tools, self.load, placement),
             ),
             connections,
         )
--- a/packages/cardamomrun-node/src/cardamomrun_node/gateway_node.py
+++ b/packages/cardamomrun-node/src/cardamomrun_node/gateway_node.py
@@ -21,6 +21,8 @@
 from cardamomrun_gateway.paths import OwnPaths, PeerPaths
 from cardamomrun_gateway.permits import Permits
 from cardamomrun_gateway.placement import Placement
+from cardamomrun_gateway.refusals import Refusals
+from cardamomrun_gateway.request_admission import RequestAdmission
 from cardamomrun_gateway.retry_budget import RetryBudget
 from cardamomrun_gateway.routed_request import RouteTimes
 from cardamomrun_gateway.server_attempt import AttemptDependencies
@@ -185,7 +187,8 @@
             self._peers,
             BackgroundTasks(),
             self._shutdown,
-            lambda: documents.is_current,
+            RequestAdmission(attempt_tools, self.table, lambda: documents.is_current),
+            Refusals(attempt_tools, load, placement),
         )
         self._front = GatewayFront(settings, clock, self._headers, tools, connections)
         await self._front.start()
