--- a/packages/cardamomrun-base/src/cardamomrun_base/routing_document.py
+++ b/packages/cardamomrun-base/src/cardamomrun_base/routing_document.py
@@ -14,6 +14,7 @@
 
 __all__ = [
     "FrontLimits",
+    "Organisation",
     "RouteKind",
     "RoutedService",
     "RoutingDocument",
@@ -52,7 +53,8 @@
 
     `objective_ms` is the target response time, `timeout_ms` the longest time that a
     request is held, `rank` its priority (0 is the highest), and `attempt_count` the
-    largest number of backend servers that one request may reach.
+    largest number of backend servers that one request may reach. A public route needs no
+    key. The responses of downloads are large.
     """
 
     name: str
@@ -64,6 +66,8 @@
     rank: int
     attempt_count: int
     split: tuple[ServiceWeight, ...]
+    is_public: bool = False
+    is_download: bool = False
 
     @property
     def is_idempotent(self) -> bool:
@@ -80,6 +84,21 @@
     connection_count: int = 0
 
 
+@dataclass(frozen=True)
+class Organisation:
+    """A customer whose requests carry one of its keys.
+
+    `rank` goes before the rank of the route (0 is the highest). All instances together
+    may send `requests_per_s` of its requests, and `burst_count` at once; 0 is no limit.
+    """
+
+    name: str
+    keys: tuple[str, ...]
+    rank: int = 0
+    requests_per_s: float = 0.0
+    burst_count: float = 0.0
+
+
 @dataclass(frozen=True)
 class FrontLimits:
     """Limits on the size and duration of what clients send."""
@@ -95,7 +114,8 @@
 class RoutingDocument:
     """All routes and services, put in force together.
 
-    `source` holds the operator's original text, which a read returns.
+    `source` holds the operator's original text, which a read returns. Requests need the
+    key of an organisation unless `organisations` is None.
     """
 
     number: int
@@ -103,6 +123,7 @@
     services: tuple[RoutedService, ...]
     limits: FrontLimits = FrontLimits()
     source: bytes = b""
+    organisations: tuple[Organisation, ...] | None = None
 
     @cached_property
     def service_names(self) -> frozenset[str]:
