Hedge slow requests within a share that operators set

Cause: a few responses in a hundred take several times the usual time. Overdue requests went to a second server already, at three times the mean and within the retry budget only; operators couldn't say how much extra work that may be.

gateway.hedge_ratio sets the share of the repeatable requests that may be hedged, and the quantile of the route's response times at which that starts is learned. 0 turns hedges off. Without it nothing changes.

What it changes for callers on the deployments isn't measured yet.

--- a/packages/cardamomrun-base/src/cardamomrun_base/settings.py
+++ b/packages/cardamomrun-base/src/cardamomrun_base/settings.py
@@ -105,6 +105,9 @@
     The retry budget bounds the retries of the whole fleet for a service:
     `retry_ratio` of its requests in `retry_window_ms`, and `retry_slack_count` more.
     `grace_ms` is the longest time that the shutdown of an instance may take.
+    `hedge_ratio` is the share of the requests that may be repeated which may get a second
+    attempt while the first one is slow; 0 is none. Without it, attempts that are overdue
+    get one within the retry budget.
     """
 
     __pydantic_config__ = STRICT
@@ -116,6 +119,7 @@
     grace_ms: Annotated[int, Field(ge=500, le=600_000)] = 6_000
     report_idle_ms: Annotated[int, Field(ge=20, le=10_000)] = 250
     connection_idle_ms: Annotated[int, Field(ge=100, le=600_000)] = 4_000
+    hedge_ratio: Annotated[float, Field(ge=0, le=0.5)] | None = None
 
 
 @dataclass(frozen=True)
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/dispatch.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/dispatch.py
@@ -13,6 +13,7 @@
 from cardamomrun_gateway.crash_guard import CrashGuard, RequestIdentity
 from cardamomrun_gateway.fleet_load import FleetLoad, Server
 from cardamomrun_gateway.forwarding import forward_response, name_server
+from cardamomrun_gateway.hedging import Hedging
 from cardamomrun_gateway.paths import OwnPaths, PeerPaths
 from cardamomrun_gateway.permits import Permit, Permits
 from cardamomrun_gateway.placement import (
@@ -81,6 +82,7 @@
     shutdown: Shutdown
     admission: RequestAdmission
     refusals: Refusals
+    hedging: Hedging
 
 
 class RequestDispatch:
@@ -102,6 +104,7 @@
         self._tried_server_ids: set[str] = set()
         self._attempt_count = 0
         self._not_run_count = 0
+        self._has_hedged = False
         self._may_have_run = False
         self._has_arrived = False
         self._last_failure: NotExecuted | ResponseLost | None = None
@@ -142,6 +145,8 @@
                 self._request, arrived_ms, is_relayed=self._is_relayed
             )
             self._service = routed.service
+            if routed.is_idempotent:
+                self._tools.hedging.count_request()
             self._check_shutdown(routed)
             if self._tools.paths.are_lost:
                 # Leads the client to another instance with its next request.
@@ -281,6 +286,8 @@
                 attempt = self._running.pop(task)
                 result = task.result()
                 if isinstance(result, ServerResponse):
+                    if not self._has_hedged:
+                        self._record_duration(attempt, routed)
                     self._running[task] = attempt
                     self._responder = attempt.server
                     return result
@@ -293,17 +300,18 @@
                 self._start_hedge(routed)
 
     async def _wait(self, routed: RoutedRequest) -> None:
-        """Wait until an attempt ends or becomes overdue."""
+        """Wait until an attempt ends, becomes overdue or may be hedged."""
         overdue_ms = self._tools.attempt_tools.route_times.overdue_ms(routed.route)
         now_ms = self._clock.now_ms()
-        ages = [
-            now_ms - attempt.started_ms
+        waits_ms = [
+            max(0.0, overdue_ms - (now_ms - attempt.started_ms))
             for attempt in self._running.values()
             if not attempt.is_overdue
         ]
-        timeout_s = None
-        if ages:
-            timeout_s = max(0.0, overdue_ms - max(ages)) / MS_PER_S
+        hedge_wait_ms = self._hedge_wait_ms(routed)
+        if hedge_wait_ms > 0 and not self._has_hedged:
+            waits_ms.append(hedge_wait_ms)
+        timeout_s = min(waits_ms) / MS_PER_S if waits_ms else None
         done, _ = await asyncio.wait(
             self._running, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED
         )
@@ -429,11 +437,18 @@
     def _is_resendable(self) -> bool:
         return self._request.body.resendable
 
+    def _hedge_wait_ms(self, routed: RoutedRequest) -> float:
+        """Return the time until the newest attempt is slow enough to be hedged."""
+        delay_ms = self._tools.hedging.delay_ms(routed.route)
+        started_ms = max(attempt.started_ms for attempt in self._running.values())
+        return started_ms + delay_ms - self._clock.now_ms()
+
     def _should_hedge(self, routed: RoutedRequest) -> bool:
         return (
             len(self._running) == 1
-            and all(attempt.is_overdue for attempt in self._running.values())
+            and self._hedge_wait_ms(routed) <= 0
             and self._may_retry(routed)
+            and self._tools.hedging.has_credit
             and self._has_time(routed)
             and not self._is_blocked()
             and self._tools.attempt_tools.reports.allows_retry(self._service)
@@ -448,9 +463,24 @@
             return
         if choice.server.limit is not None:
             return
+        if self._tools.hedging.is_limited and self._tools.placement.is_shedding(
+            choice.server
+        ):
+            return
         self._tools.attempt_tools.reports.count_retry(self._service)
+        self._tools.hedging.take()
+        metrics.HEDGES.labels(self._service).inc()
+        if not self._has_hedged:
+            self._has_hedged = True
+            for attempt in self._running.values():
+                self._record_duration(attempt, routed)
         self._launch_attempt(routed, choice, None)
 
+    def _record_duration(self, attempt: ServerAttempt, routed: RoutedRequest) -> None:
+        """Let the delay of hedges learn from how long an attempt has run."""
+        duration_ms = self._clock.now_ms() - attempt.started_ms
+        self._tools.hedging.record(routed.route, duration_ms)
+
     def _criteria(
         self, routed: RoutedRequest, *, may_be_trial: bool, max_wait_ms: float = 0.0
     ) -> PlacementCriteria:
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/metrics.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/metrics.py
@@ -40,6 +40,11 @@
     "Attempts at backend servers by how they ended.",
     ("service", "end"),
 )
+HEDGES = Counter(
+    "cardamomrun_routed_hedges",
+    "Second attempts started while the first one was slow.",
+    ("service",),
+)
 REFUSALS = Counter(
     "cardamomrun_routed_refusals",
     "Requests that were refused without an attempt that ran, by reason.",
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/placement.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/placement.py
@@ -195,6 +195,10 @@
             return servers
         return kept
 
+    def is_shedding(self, server: Server) -> bool:
+        """Return True if a server rejects requests beyond its present load."""
+        return self._is_shedding(server, self._clock.now_ms())
+
     def _is_shedding(self, server: Server, now_ms: float) -> bool:
         return server.health.is_shedding(now_ms, self._load.spread_ratio(server))
 
--- a/packages/cardamomrun-gateway/tests/builders.py
+++ b/packages/cardamomrun-gateway/tests/builders.py
@@ -36,6 +36,7 @@
 from cardamomrun_gateway.dispatch import DispatchDependencies
 from cardamomrun_gateway.fleet_load import FleetLoad
 from cardamomrun_gateway.front import GatewayFront
+from cardamomrun_gateway.hedging import Hedging
 from cardamomrun_gateway.link_queue import LinkQueue
 from cardamomrun_gateway.load_model import (
     DomainEnd,
@@ -313,6 +314,7 @@
                 self.shutdown,
                 RequestAdmission(tools, self.table, lambda: self.has_newest_document),
                 Refusals(tools, self.load, placement),
+                Hedging(settings, tools.route_times),
             ),
             connections,
         )
--- a/packages/cardamomrun-gateway/tests/test_dispatch.py
+++ b/packages/cardamomrun-gateway/tests/test_dispatch.py
@@ -5,6 +5,7 @@
 import pytest
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
+from cardamomrun_base.settings import GatewaySettings
 from cardamomrun_bench.scripted_server import ScriptedServer, Step, parse_response
 from cardamomrun_gateway.front import MAX_BUFFERED_BODY_BYTES
 from cardamomrun_gateway.server_attempt import BUFFERED_BYTES
@@ -341,6 +342,22 @@
     asyncio.run(main())
 
 
+def test_with_a_hedge_ratio_of_zero_no_second_attempt_starts_while_one_runs():
+    """Guards against extra work on backend servers that operators have ruled out."""
+
+    async def main():
+        silent, good = ScriptedServer([Step(b"", "hang")]), ScriptedServer([SERVED])
+        settings = GatewaySettings(grace_ms=1_000, hedge_ratio=0.0)
+        content = document(routes=[route("/a/", objective_ms=200.0, timeout_ms=500.0)])
+        async with gateway(silent, good, content=content, gateway=settings) as running:
+            running.load.attempt_started(running.load.get("b2"))
+            received = await running.call()
+            assert received.status == 504
+            assert (len(silent.heads), len(good.heads)) == (1, 0)
+
+    asyncio.run(main())
+
+
 REFUSALS = {
     "no document": (None, [], "/a/x", 503),
     "no route": ([route("/a/")], ["b1"], "/z/x", 404),
--- a/packages/cardamomrun-node/src/cardamomrun_node/gateway_node.py
+++ b/packages/cardamomrun-node/src/cardamomrun_node/gateway_node.py
@@ -16,6 +16,7 @@
 from cardamomrun_gateway.document_check import DocumentAnswers, DocumentCheck
 from cardamomrun_gateway.fleet_load import FleetLoad
 from cardamomrun_gateway.front import GatewayFront
+from cardamomrun_gateway.hedging import Hedging
 from cardamomrun_gateway.link_queue import LinkQueue
 from cardamomrun_gateway.load_reports import LoadReports
 from cardamomrun_gateway.paths import OwnPaths, PeerPaths
@@ -77,6 +78,8 @@
         self._reports = LoadReports(
             settings, clock, self.fleet, self._load, self._budget
         )
+        self._route_times = RouteTimes()
+        self._hedging = Hedging(self._gateway, self._route_times)
         self._shutdown = Shutdown(clock, self._gateway.grace_ms)
         self._front: GatewayFront | None = None
         self._stack = AsyncExitStack()
@@ -122,12 +125,14 @@
         gateway = settings.gateway or GatewaySettings()
         self.fleet.use_seeds(settings.fleet.seeds)
         self._budget.update_settings(gateway)
+        self._hedging.update_settings(gateway)
         deferred = fields_needing_restart(self._settings, settings)
         _log.info(
             "has reloaded its settings",
             seeds=settings.fleet.seeds,
             retry_ratio=gateway.retry_ratio,
             retry_slack_count=gateway.retry_slack_count,
+            hedge_ratio=gateway.hedge_ratio,
             from_next_start=deferred,
         )
 
@@ -159,7 +164,7 @@
             self._headers,
             connections,
             self._reports,
-            RouteTimes(),
+            self._route_times,
             limits,
             load,
             ServerNotices(
@@ -189,6 +194,7 @@
             self._shutdown,
             RequestAdmission(attempt_tools, self.table, lambda: documents.is_current),
             Refusals(attempt_tools, load, placement),
+            self._hedging,
         )
         self._front = GatewayFront(settings, clock, self._headers, tools, connections)
         await self._front.start()
--- a/tests/adapter/test_settings_reload.py
+++ b/tests/adapter/test_settings_reload.py
@@ -6,7 +6,9 @@
 
 from cardamomrun_base.clock import ManualClock
 from cardamomrun_base.settings import GatewaySettings
+from cardamomrun_gateway.hedging import Hedging
 from cardamomrun_gateway.retry_budget import RetryBudget
+from cardamomrun_gateway.routed_request import RouteTimes
 from cardamomrun_node.gateway_node import GatewayNode
 from cardamomrun_node.settings_watch import (
     POLL_INTERVAL_MS,
@@ -36,6 +38,7 @@
         node = SimpleNamespace(
             fleet=SimpleNamespace(use_seeds=used.append),
             _budget=RetryBudget(GatewaySettings(), ManualClock()),
+            _hedging=Hedging(GatewaySettings(), RouteTimes()),
             _settings=node_settings(path),
         )
         changed = node_settings(path, seeds=["10.9.9.9:8146"])
@@ -81,3 +84,9 @@
     assert budget.allows_retry(1)
     budget.update_settings(GatewaySettings(retry_slack_count=0, retry_ratio=0.1))
     assert not budget.allows_retry(1)
+
+
+def test_a_new_hedge_ratio_applies_at_once():
+    hedging = Hedging(GatewaySettings(), RouteTimes())
+    hedging.update_settings(GatewaySettings(hedge_ratio=0.0))
+    assert not hedging.has_credit
