Treat a response with an invalid status, or cut during an upload, as malformed or lost

Cause: tornado accepts any three digits as a status. Statuses 000 and 099 counted as interim responses, whose bytes nobody read, so that the client waited for its whole time limit although the malformed response was there. A successful response without a length that ended with a plain close while its upload was still being written was forwarded as complete: a process that dies after it has read all that arrived closes without a reset.

UpstreamResponse now rejects statuses below 100, which closes the connection and ends the attempt as malformed. A response without a length is complete only if its request was sent completely, unless its status is an error: servers refuse uploads early and close.

--- a/packages/cardamomrun-gateway/tests/builders.py
+++ b/packages/cardamomrun-gateway/tests/builders.py
@@ -388,6 +388,12 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
+def unframed_head(field=b"X: x"):
+    """Return the head of a server's response, with a field in place of its length."""
+    head = response().partition(b"\r\n\r\n")[0]
+    return head.replace(b"Content-Length: 2", field) + b"\r\n\r\n"
+
+
 def not_run(status=503):
     """Return a server's response with the header that it did not run the request."""
     return response(b"", status, proof=False, **{NAMES.not_run: "1"})
@@ -436,3 +442,16 @@
     async with asyncio.timeout(WAIT_S):
         while not condition():
             await asyncio.sleep(0.005)
+
+
+def recorded_ends(running):
+    """Return a list to which the ends of attempts in a gateway are added."""
+    ends = []
+    attempt_ended = running.reports.attempt_ended
+
+    def record(token, server, end):
+        ends.append(end)
+        attempt_ended(token, server, end)
+
+    running.reports.attempt_ended = record
+    return ends
--- a/packages/cardamomrun-requests/src/cardamomrun_requests/upstream.py
+++ b/packages/cardamomrun-requests/src/cardamomrun_requests/upstream.py
@@ -48,6 +48,11 @@
 MAX_SKIPPED_RESPONSE_COUNT = 16
 MAX_SKIPPED_BODY_BYTES = 1_048_576
 
+# RFC 9110, section 15: a status code has three digits, the first of them from 1 to 5.
+# tornado accepts any three digits, and takes those below 100 for a response with a body.
+MIN_STATUS = 100
+STATUS_CLIENT_ERROR = 400
+
 # tornado frames a body of unknown length as chunks for these methods only.
 TORNADO_CHUNKED_METHODS = frozenset(("POST", "PUT", "PATCH"))
 LAST_CHUNK = b"0\r\n\r\n"
@@ -78,17 +83,20 @@
     """Receives the response to one request.
 
     `head` resolves to the final start line and headers, or to None if the connection
-    ended, or sent something malformed, before a complete head.
+    ended, or sent something malformed, before a complete head. `request_finished` is True
+    once the whole request was passed to the connection.
     """
 
     def __init__(
         self,
         method: str,
-        stream: IOStream,
+        stream: "PeekableStream",
         identity: EchoedHeader | None = None,
         *,
         requires_echo: bool = False,
     ) -> None:
+        self.request_finished = False
+        self._status = 0
         self._method = method
         self._stream = stream
         self._identity = identity
@@ -108,6 +116,8 @@
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
     ) -> None:
         assert isinstance(start_line, ResponseStartLine)
+        if start_line.code < MIN_STATUS:
+            raise HTTPInputError(f"the status code {start_line.code:03} is not valid")
         if start_line.code == 101:
             raise HTTPInputError("the server switched protocols without a request")
         length = body_length(headers)
@@ -118,6 +128,7 @@
         if self.is_mismatched:
             self._count_skipped()
             return
+        self._status = start_line.code
         bodiless = has_no_body(self._method, start_line.code)
         chunked = "Transfer-Encoding" in headers
         if start_line.code == 204 and (chunked or length):
@@ -143,14 +154,24 @@
         if self.is_mismatched:
             return
         # A reset also ends a close-delimited body, but the body is then incomplete.
-        reset = self.close_delimited and self._stream.error is not None
-        self.body.end(complete=not reset)
+        broken_off = self._stream.error is not None or self._ended_before_request()
+        self.body.end(complete=not (self.close_delimited and broken_off))
 
     def on_connection_close(self) -> None:
         self.body.end(complete=False)
         if not self.head.done():
             self.head.set_result(None)
 
+    def _ended_before_request(self) -> bool:
+        """Return True if a successful response ended before its request was sent.
+
+        A process that dies during an upload closes its connection like this, without a
+        reset, if it had read all that had arrived. An error may come and end early.
+        """
+        return self._status < STATUS_CLIENT_ERROR and (
+            not self.request_finished or self._stream.has_unsent_output()
+        )
+
     def _is_for_other_request(self, headers: HTTPHeaders) -> bool:
         if self._identity is None:
             return False
@@ -183,6 +204,10 @@
             return True
         return True
 
+    def has_unsent_output(self) -> bool:
+        """Return True if bytes were written that the kernel has not taken."""
+        return self._total_write_done_index < self._total_write_index
+
 
 class UpstreamConnection:
     """One connection to a backend server, for one request at a time."""
@@ -197,7 +222,6 @@
         self._stream = stream
         self._http: HTTP1Connection | None = None
         self._reader: asyncio.Task[None] | None = None
-        self._request_finished = False
         self._encodes_chunks = False
         # True once a response on this connection echoed the request's identity.
         self._expects_echo = False
@@ -216,7 +240,6 @@
         value of `identity` belong to earlier requests and are skipped. So are those
         without the header if earlier responses on the connection had it.
         """
-        self._request_finished = False
         self._stream.set_nodelay(True)
         self._http = HTTP1Connection(self._stream, True, _HTTP_PARAMETERS)
         self._expects_echo = self._expects_echo or (
@@ -242,17 +265,18 @@
     def finish_request(self) -> None:
         """Mark the request as sent completely."""
         assert self._http is not None
+        assert self.response is not None
         if self._encodes_chunks:
             self._http.write(LAST_CHUNK)
         self._http.finish()
-        self._request_finished = True
+        self.response.request_finished = True
 
     def reusable(self) -> bool:
         """Return True if request and response are complete and no input is unread."""
         response = self.response
         return (
             response is not None
-            and self._request_finished
+            and response.request_finished
             and response.body.ended
             and response.body.complete
             and response.keep_alive
--- a/packages/cardamomrun-requests/tests/test_answers.py
+++ b/packages/cardamomrun-requests/tests/test_answers.py
@@ -75,6 +75,9 @@
     ),
     "switching": Step(b"HTTP/1.1 101 Switching Protocols\r\n\r\n"),
     "oversized": Step(b"HTTP/1.1 200 OK\r\nX: " + b"x" * 70_000 + b"\r\n\r\n"),
+} | {
+    f"status {status}": Step(ok_response().replace(b"200", status.encode(), 1), "hang")
+    for status in ("000", "099", "1000", "-20", "2OO")
 }
 
 
