Deliver responses that are ready, excuse cuts of slow clients, and count the own link

Cause: the request's deadline also ended responses that were being forwarded, so a download was cut off because its client or the own link was slow (2.8 of 8.4 MB delivered with a deadline of 300 ms and a client that read later). A server that cut a response while it was forwarded counted as good, whoever was the cause. Of a long response only the first part counted for the own link, of responses that come in nothing, and the wait for the link counted as the server's time. A held response kept its start until its end.

Ruled out: reading ahead of a slow client. The channel and the write buffer already stop it; the test of it passes before and after.

--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/dispatch.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/dispatch.py
@@ -33,7 +33,7 @@
     PATHS_LOST_KIND,
     RequestRelay,
 )
-from cardamomrun_gateway.routed_request import RoutedRequest
+from cardamomrun_gateway.routed_request import DEADLINE_GRACE_MS, RoutedRequest
 from cardamomrun_gateway.server_attempt import (
     AttemptDependencies,
     NotExecuted,
@@ -56,8 +56,6 @@
 HOLD_RATIO = 0.125
 # Retry-After of a request that crashed servers; it stays refused for minutes.
 RETRY_AFTER_CRASHES_S = 60.0
-# Time after the deadline for a response that a server sent at the deadline.
-DEADLINE_GRACE_MS = 40.0
 # Limit for the attempts of one request that no server ran; the attempt count of the
 # document covers only those that may have run.
 NOT_RUN_LIMIT = 6
@@ -157,14 +155,15 @@
                     response = await self._run_elsewhere(routed)
                 else:
                     response = await self._run_attempts(routed)
-                if self._is_relayed and self._responder is not None:
-                    name_server(self._responder, self._reply)
-                await forward_response(
-                    self._request,
-                    response,
-                    self._reply,
-                    self._tools.attempt_tools.link,
-                )
+            if self._is_relayed and self._responder is not None:
+                name_server(self._responder, self._reply)
+            await forward_response(
+                routed,
+                response,
+                self._reply,
+                self._tools.attempt_tools,
+                self._tools.shutdown,
+            )
         except RequestFailedError as failure:
             await self._send_error(failure)
         except TimeoutError:
@@ -295,9 +294,8 @@
     async def _wait(self, routed: RoutedRequest) -> None:
         """Wait until an attempt ends or becomes overdue."""
         overdue_ms = self._tools.attempt_tools.route_times.overdue_ms(routed.route)
-        now_ms = self._clock.now_ms()
         ages = [
-            now_ms - attempt.started_ms
+            attempt.age_ms()
             for attempt in self._running.values()
             if not attempt.is_overdue
         ]
@@ -309,9 +307,8 @@
         )
         if done:
             return
-        now_ms = self._clock.now_ms()
         for attempt in self._running.values():
-            if not attempt.is_overdue and now_ms - attempt.started_ms >= overdue_ms:
+            if not attempt.is_overdue and attempt.age_ms() >= overdue_ms:
                 attempt.mark_overdue()
                 _log.info(
                     "an attempt is overdue",
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/metrics.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/metrics.py
@@ -7,6 +7,7 @@
     "ATTEMPTS",
     "CONNECTIONS",
     "CRASH_CHECKS",
+    "CUT_RESPONSES",
     "DOCUMENT_FETCHES",
     "DOCUMENT_IS_CURRENT",
     "LIMITED_ATTEMPTS",
@@ -75,6 +76,11 @@
     "Permits asked for attempts at backend servers that state a limit, by result.",
     ("service", "result"),
 )
+CUT_RESPONSES = Counter(
+    "cardamomrun_routed_cut_responses",
+    "Responses that ended incomplete while they were being forwarded, by cause.",
+    ("cause",),
+)
 PATHS_LOST = Gauge(
     "cardamomrun_routed_paths_lost",
     "1 while this instance cannot reach backend servers, else 0.",
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/request_relay.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/request_relay.py
@@ -10,6 +10,7 @@
 from cardamomrun_base.logs import ComponentLog
 from cardamomrun_base.outcomes import Done, NotRun
 from cardamomrun_gateway import metrics
+from cardamomrun_gateway.held_body import HeldBody
 from cardamomrun_gateway.paths import PeerPaths
 from cardamomrun_gateway.routed_request import RoutedRequest
 from cardamomrun_gateway.server_attempt import (
@@ -149,7 +150,7 @@
         if tag == Done.tag:
             self._peers.mark_serving(address)
             self._record_departure(headers)
-            return "", ServerResponse(start_line, headers, b"", answer.body)
+            return "", ServerResponse(start_line, headers, HeldBody(), answer.body)
         kind = _error_kind(await drain(answer))
         if tag == NotRun.tag:
             self.may_have_run = False
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/routed_request.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/routed_request.py
@@ -10,8 +10,10 @@
 from cardamomrun_requests.framing import end_to_end_headers
 from cardamomrun_requests.request import ClientRequest
 
-__all__ = ["RouteTimes", "RoutedRequest"]
+__all__ = ["DEADLINE_GRACE_MS", "RouteTimes", "RoutedRequest"]
 
+# Time after the deadline for a response that a server sent at the deadline.
+DEADLINE_GRACE_MS = 40.0
 # Weight of a new response time in the running mean of a route.
 MEAN_WEIGHT = 0.05
 # Share of a route's objective that is assumed as its mean until it has responses.
@@ -36,9 +38,16 @@
         """Return the age from which an attempt on a route is overdue."""
         return self.expected_ms(route) * OVERDUE_FACTOR
 
-    def record(self, route: RoutingRoute, duration_ms: float) -> None:
-        """Add the duration of a successful attempt to the mean."""
+    def record(
+        self, route: RoutingRoute, duration_ms: float, link_wait_ms: float = 0.0
+    ) -> None:
+        """Add the duration of a successful attempt, less its wait for the own link.
+
+        The wait is an estimate that may be too long, so it never makes a duration
+        shorter than the mean.
+        """
         mean_ms = self.expected_ms(route)
+        duration_ms = max(duration_ms - link_wait_ms, min(duration_ms, mean_ms))
         mean_ms += MEAN_WEIGHT * (duration_ms - mean_ms)
         self._means_ms[route.name] = mean_ms
 
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_attempt.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_attempt.py
@@ -1,6 +1,7 @@
 """One attempt to run a request on one backend server."""
 
 import asyncio
+from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
 
@@ -11,6 +12,7 @@
 from cardamomrun_base.logs import ComponentLog
 from cardamomrun_gateway import metrics
 from cardamomrun_gateway.fleet_load import FleetLoad, Server
+from cardamomrun_gateway.held_body import HeldBody
 from cardamomrun_gateway.link_queue import LinkQueue
 from cardamomrun_gateway.load_reports import LoadReports
 from cardamomrun_gateway.permits import Permit
@@ -23,7 +25,7 @@
 from cardamomrun_gateway.server_limits import ServerLimits, parse_limit
 from cardamomrun_gateway.server_notices import ServerNotices, parse_retry_after
 from cardamomrun_requests.body_channel import BodyChannel, IncompleteBodyError
-from cardamomrun_requests.framing import has_no_body
+from cardamomrun_requests.framing import body_length, has_no_body
 from cardamomrun_requests.sending import send_until_head
 from cardamomrun_requests.upstream import (
     ConnectError,
@@ -68,12 +70,16 @@
 
 @dataclass(frozen=True)
 class ServerResponse:
-    """A server's response; `body_rest` yields the body after `body_start`, if any."""
+    """A server's response; `body_rest` yields the body after `body_start`, if any.
+
+    `record_cut` sets how the attempt ended if the rest of the body breaks off.
+    """
 
     start_line: ResponseStartLine
     headers: HTTPHeaders
-    body_start: bytes
+    body_start: HeldBody
     body_rest: BodyChannel | None
+    record_cut: Callable[[AttemptEnd], None] | None = None
 
 
 @dataclass(frozen=True)
@@ -142,6 +148,7 @@
         self.has_arrived = False
         self.started_ms = tools.clock.now_ms()
         self._tools = tools
+        self._link_wait_ms = tools.link.wait_ms()
         self._routed = routed
         self._permit = permit
         self._outcome = _Outcome()
@@ -159,6 +166,12 @@
             self.close()
         return result
 
+    def age_ms(self) -> float:
+        """Return the time since the start, less the wait for the own link."""
+        self._update_link_wait()
+        age_ms = self._tools.clock.now_ms() - self.started_ms
+        return age_ms - self._link_wait_ms
+
     def mark_overdue(self) -> None:
         """Report to all instances that this attempt is overdue."""
         self.is_overdue = True
@@ -217,6 +230,7 @@
         self.may_have_run = self.has_arrived = True
         first = request.body.buffered_start()
         self._tools.link.send(len(first))
+        self._update_link_wait()
         answer = connection.start(
             request.method, request.target, headers, first, identity
         )
@@ -225,6 +239,10 @@
             return self._classify_no_response(answer, connection)
         return await self._receive_response(answer, *head)
 
+    def _update_link_wait(self) -> None:
+        """Take up the wait behind bodies that have come between."""
+        self._link_wait_ms = max(self._link_wait_ms, self._tools.link.wait_ms())
+
     def _classify_no_response(
         self, answer: UpstreamResponse, connection: UpstreamConnection
     ) -> ResponseLost:
@@ -265,15 +283,22 @@
             if has_paused:
                 self._outcome.end = AttemptEnd.SHED
             return loss
+        if not has_no_body(self._routed.request.method, start_line.code):
+            # Bytes of unknown length have passed the link when they are known.
+            self._tools.link.receive(body_length(headers) or 0)
+            self._update_link_wait()
         try:
             body_start, body_rest = await self._buffer_body(answer, start_line)
         except IncompleteBodyError:
             self._outcome.end = AttemptEnd.BROKEN_OFF
             return ResponseLost("the response broke off", has_connection_ended=True)
         return self._classify_response(
-            ServerResponse(start_line, headers, body_start, body_rest)
+            ServerResponse(start_line, headers, body_start, body_rest, self._record_cut)
         )
 
+    def _record_cut(self, end: AttemptEnd) -> None:
+        self._outcome.end = end
+
     def _record_limit(self, headers: HTTPHeaders, *, is_success: bool) -> None:
         stated = headers.get(self._tools.header_names.rate_limit)
         self._tools.limits.record_response(
@@ -282,17 +307,17 @@
 
     async def _buffer_body(
         self, answer: UpstreamResponse, start_line: ResponseStartLine
-    ) -> tuple[bytes, BodyChannel | None]:
+    ) -> tuple[HeldBody, BodyChannel | None]:
         if has_no_body(self._routed.request.method, start_line.code):
             await answer.body.get()
-            return b"", None
-        buffer = bytearray()
-        while len(buffer) < BUFFERED_BYTES:
+            return HeldBody(), None
+        start = HeldBody()
+        while len(start) < BUFFERED_BYTES:
             chunk = await answer.body.get()
             if chunk is None:
-                return bytes(buffer), None
-            buffer += chunk
-        return bytes(buffer), answer.body
+                return start, None
+            start.append(chunk)
+        return start, answer.body
 
     def _classify_head(
         self, start_line: ResponseStartLine, headers: HTTPHeaders
@@ -326,7 +351,9 @@
         self._outcome.end = AttemptEnd.GOOD
         self._record_limit(response.headers, is_success=True)
         duration_ms = self._tools.clock.now_ms() - self.started_ms
-        self._tools.route_times.record(self._routed.route, duration_ms)
+        self._tools.route_times.record(
+            self._routed.route, duration_ms, self._link_wait_ms
+        )
         return response
 
 
