--- a/packages/cardamomrun-base/src/cardamomrun_base/codec.py
+++ b/packages/cardamomrun-base/src/cardamomrun_base/codec.py
@@ -15,6 +15,9 @@
 Converter = Callable[[Any], Any]
 MessageType = TypeVar("MessageType", bound=type)
 
+# A message may have thousands of invalid fields, and the text goes into one log line.
+MAX_DESCRIBED_COUNT = 3
+
 _types_by_name: dict[str, type] = {}
 _names_by_type: dict[type, str] = {}
 
@@ -126,8 +129,26 @@
         name, items = cbor2.loads(data)
         cls = _types_by_name[name]
         return _adapter(cls).validate_python(_unpack(cls, items))
-    except (ValueError, TypeError, KeyError, ValidationError, cbor2.CBORError) as error:
+    except ValidationError as error:
+        # Its own text quotes the values, which may be keys of organisations; without
+        # the chain no traceback quotes them either.
+        raise CodecError(
+            f"cannot decode a message of {len(data)} bytes: {_describe(error)}",
+            remedy="run the same release on all instances",
+        ) from None
+    except (ValueError, TypeError, KeyError, cbor2.CBORError) as error:
         raise CodecError(
             f"cannot decode a message of {len(data)} bytes: {error}",
             remedy="run the same release on all instances",
         ) from error
+
+
+def _describe(error: ValidationError) -> str:
+    """Return the fields that are invalid, without their values."""
+    details = error.errors(
+        include_url=False, include_context=False, include_input=False
+    )
+    return "; ".join(
+        f"{'.'.join(str(part) for part in detail['loc'])}: {detail['msg']}"
+        for detail in details[:MAX_DESCRIBED_COUNT]
+    )
--- a/packages/cardamomrun-base/src/cardamomrun_base/headers.py
+++ b/packages/cardamomrun-base/src/cardamomrun_base/headers.py
@@ -15,9 +15,14 @@
 # the front address of the instance.
 RELAYED_FOR = "Cardamomrun-Relayed-For"
 RELAYED_BY = "Cardamomrun-Relayed-By"
+# On such a request: the organisation that the instance identified by the key, which it
+# does not pass on. Trusted only from members of the fleet.
+RELAYED_ORGANISATION = "Cardamomrun-Relayed-Organisation"
 # On the response to such a request: the id and incarnation of the server that responded.
 RELAYED_SERVER = "Cardamomrun-Relayed-Server"
 CUSTOMER = "Cardamomrun-Customer"
+AUTHORIZATION = "Authorization"
+AUTHENTICATE = "WWW-Authenticate"
 IDEMPOTENCY_KEY = "Idempotency-Key"
 RETRY_AFTER = "Retry-After"
 
@@ -34,7 +39,8 @@
     names another server. It sets `not_run` on a response if it did not run the request
     and, where `success_proof` is configured, sets that on each response of its own. In
     `rate_limit` it states how many requests a second it accepts from all instances, and
-    with `leaving` that it leaves and wants no more requests.
+    with `leaving` that it leaves and wants no more requests. `organisation` names the
+    organisation of a request to the server.
     """
 
     request_id: str = REQUEST_ID
@@ -44,3 +50,4 @@
     rate_limit: str = RATE_LIMIT
     leaving: str = LEAVING
     success_proof: str | None = None
+    organisation: str = CUSTOMER
--- a/packages/cardamomrun-base/src/cardamomrun_base/logs.py
+++ b/packages/cardamomrun-base/src/cardamomrun_base/logs.py
@@ -2,14 +2,17 @@
 
 import json
 import sys
+import traceback
+from pathlib import Path
 from typing import Any, TextIO
 
 from eliot import add_destinations as _add_destinations
 from eliot import add_global_fields, log_message
 
+from cardamomrun_base.errors import CardamomrunError
 from cardamomrun_base.log_stream import LogStream
 
-__all__ = ["ComponentLog", "start_logs"]
+__all__ = ["ComponentLog", "describe_error", "start_logs"]
 
 
 class ComponentLog:
@@ -40,6 +43,19 @@
         )
 
 
+def describe_error(error: BaseException) -> str:
+    """Return type and place of an unexpected error, and the text of the project's own.
+
+    Texts of other errors may quote what a client sent, such as a header with its key:
+    that of `UnicodeEncodeError` contains the whole text that could not be encoded.
+    """
+    if isinstance(error, CardamomrunError):
+        return repr(error)
+    frames = traceback.extract_tb(error.__traceback__, limit=-1)
+    place = "".join(f" at {Path(f.filename).name}:{f.lineno}" for f in frames)
+    return f"{type(error).__name__}{place}"
+
+
 def start_logs(instance_id: str, stream: TextIO = sys.stderr) -> None:
     """Send all log entries of this process to `stream`, each with the instance id.
 
--- a/packages/cardamomrun-base/src/cardamomrun_base/routing_document.py
+++ b/packages/cardamomrun-base/src/cardamomrun_base/routing_document.py
@@ -4,8 +4,9 @@
 the one with the higher number wins; `docs/interfaces.md` lists the fields.
 """
 
+import math
 import zlib
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import StrEnum
 from functools import cached_property
 
@@ -93,7 +94,8 @@
     """
 
     name: str
-    keys: tuple[str, ...]
+    # Keys must not reach logs, so no representation shows them.
+    keys: tuple[str, ...] = field(repr=False)
     rank: int = 0
     requests_per_s: float = 0.0
     burst_count: float = 0.0
@@ -122,7 +124,8 @@
     routes: tuple[RoutingRoute, ...]
     services: tuple[RoutedService, ...]
     limits: FrontLimits = FrontLimits()
-    source: bytes = b""
+    # The text contains the keys of organisations.
+    source: bytes = field(default=b"", repr=False)
     organisations: tuple[Organisation, ...] | None = None
 
     @cached_property
@@ -144,6 +147,49 @@
                 remedy="remove one of the two routes",
             )
         patterns.add(pattern)
+    _check_organisations(document.organisations or ())
+
+
+def _check_organisations(organisations: tuple[Organisation, ...]) -> None:
+    """Raise `DocumentError` for the first error; its text gives positions, from 1.
+
+    Positions rather than names: a key that was entered as a name stays secret.
+    """
+    positions_by_name: dict[str, int] = {}
+    positions_by_key: dict[str, int] = {}
+    for position, organisation in enumerate(organisations, 1):
+        _check_organisation(organisation, position)
+        earlier = positions_by_name.setdefault(organisation.name, position)
+        if earlier != position:
+            raise DocumentError(
+                f"organisations {earlier} and {position} have the same name.",
+                remedy="rename or remove one of the two",
+            )
+        for key in organisation.keys:
+            earlier = positions_by_key.setdefault(key, position)
+            if earlier != position:
+                raise DocumentError(
+                    f"organisations {earlier} and {position} share a key.",
+                    remedy="remove the key from one of the two",
+                )
+
+
+def _check_organisation(organisation: Organisation, position: int) -> None:
+    name = organisation.name
+    # A header carries the name, without surrounding spaces and control characters.
+    if not name or name != name.strip() or not name.isprintable():
+        raise DocumentError(
+            f"organisation {position} has a name that is empty or that no header can "
+            "carry.",
+            remedy="give a name of printable characters without surrounding spaces",
+        )
+    for limit in (organisation.requests_per_s, organisation.burst_count):
+        if not math.isfinite(limit) or limit < 0:
+            raise DocumentError(
+                f"organisation {position} has a rate or burst that is negative or not "
+                "finite.",
+                remedy="give a number of 0 or more; 0 is no limit",
+            )
 
 
 def _check_route(route: RoutingRoute, service_names: frozenset[str]) -> None:
--- a/packages/cardamomrun-requests/src/cardamomrun_requests/background.py
+++ b/packages/cardamomrun-requests/src/cardamomrun_requests/background.py
@@ -4,7 +4,7 @@
 from collections.abc import Coroutine
 from typing import Any
 
-from cardamomrun_base.logs import ComponentLog
+from cardamomrun_base.logs import ComponentLog, describe_error
 
 __all__ = ["BackgroundTasks"]
 
@@ -41,5 +41,6 @@
 
     def _on_done(self, task: asyncio.Task[Any]) -> None:
         self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            _log.error("a background task failed", error=repr(task.exception()))
+        error = None if task.cancelled() else task.exception()
+        if error is not None:
+            _log.error("a background task failed", error=describe_error(error))
--- a/packages/cardamomrun-requests/src/cardamomrun_requests/request.py
+++ b/packages/cardamomrun-requests/src/cardamomrun_requests/request.py
@@ -3,7 +3,7 @@
 import hashlib
 import re
 import secrets
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from tornado.httputil import HTTPHeaders
 
@@ -109,7 +109,8 @@
     method: str
     target: str
     version: str
-    headers: HTTPHeaders
+    # May contain a key, so no representation shows them.
+    headers: HTTPHeaders = field(repr=False)
     body: RequestBody
     remote_ip: str
     request_id: str
