Require API keys of organisations and name the organisation to servers

Where the document has organisations, requests need the key of one, unless their route is public. A key that is missing or unknown is rejected with 401 and WWW-Authenticate, or with 503 while control doesn't confirm that the document is the newest; with strict revocation, requests with keys get 503 once it was last confirmed longer than revoke_ms ago. Confirmations count for the document in force: one that names a newer document doesn't extend them.

The key and any organisation's name from the client stay on the instance; the server gets the name that the fleet found. An instance that relays a request sends the name in a hop header and no key. The name counts only if Connection lists the header: an instance of an older release passes on what its client sent, but replaces Connection. Without a name, the key is looked up.

A rank combines that of the organisation and of the route, in this order. Negative ranks no longer address queue ratios from their end.

Ruled out: 401 before the route is known, since public routes need no key.

--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/dispatch.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/dispatch.py
@@ -7,7 +7,7 @@
 
 from cardamomrun_base import headers as names
 from cardamomrun_base.clock import MS_PER_S
-from cardamomrun_base.logs import ComponentLog
+from cardamomrun_base.logs import ComponentLog, describe_error
 from cardamomrun_base.outcomes import NotRun, Outcome, Unknown
 from cardamomrun_gateway import metrics
 from cardamomrun_gateway.crash_guard import CrashGuard, RequestIdentity
@@ -459,7 +459,7 @@
             service=self._service,
             is_idempotent=routed.is_idempotent,
             body_bytes=self._request.body.length or 0,
-            rank=routed.route.rank,
+            rank=routed.rank,
             expected_ms=self._tools.attempt_tools.route_times.expected_ms(routed.route),
             is_retryable=self._has_retry_left(routed),
             may_be_trial=may_be_trial,
@@ -556,12 +556,12 @@
             # Part of a response was sent; only closing the connection shows the error.
             raise StreamClosedError
         self._end_attempts()
-        await self._reply.send_error(failure.outcome, failure.kind)
+        await self._reply.send_error(failure.outcome, failure.kind, failure.headers)
 
     async def _send_internal_error(self, error: Exception) -> None:
         _log.error(
             "a request failed unexpectedly",
-            error=repr(error),
+            error=describe_error(error),
             request_id=self._request.request_id,
         )
         outcome = Unknown("An internal error.", "see the log", 500)
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/document_check.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/document_check.py
@@ -111,6 +111,7 @@
         self._confirmed_ms = float("-inf")
         self._last_asked_ms = float("-inf")
         self._newest = -1
+        self._superseded_confirmed_ms = float("-inf")
         self._behind_since_ms: float | None = None
         self._first_confirmed = asyncio.Event()
         reports.add_handler(ANSWER, self._on_answer)
@@ -123,6 +124,14 @@
             and self._clock.now_ms() - self._confirmed_ms <= CONFIRMED_MS
         )
 
+    @property
+    def confirmed_age_ms(self) -> float:
+        """Time since the document in force was last known to be the newest; may be inf."""
+        confirmed_ms = self._confirmed_ms
+        if self._newest > self._table.number:
+            confirmed_ms = self._superseded_confirmed_ms
+        return self._clock.now_ms() - confirmed_ms
+
     async def wait_first(self, timeout_ms: float) -> None:
         """Return once a document was confirmed for the first time, or after the timeout.
 
@@ -200,6 +209,9 @@
         asked_ms = self._asked_ms.pop(question, None)
         if asked_ms is None:
             return
+        if self._newest <= self._table.number:
+            # Kept for the case that this answer names a newer document.
+            self._superseded_confirmed_ms = self._confirmed_ms
         self._confirmed_ms = max(self._confirmed_ms, asked_ms - age_ms)
         self._newest = max(self._newest, number)
         if self._newest <= self._table.number:
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/metrics.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/metrics.py
@@ -9,6 +9,7 @@
     "CRASH_CHECKS",
     "DOCUMENT_FETCHES",
     "DOCUMENT_IS_CURRENT",
+    "KEY_REJECTIONS",
     "LIMITED_ATTEMPTS",
     "PATHS_LOST",
     "PERMITS",
@@ -84,6 +85,11 @@
     "Requests that this instance asked another one to serve, by result.",
     ("service", "result"),
 )
+KEY_REJECTIONS = Counter(
+    "cardamomrun_routed_key_rejections",
+    "Requests rejected because of their API key, by reason.",
+    ("reason",),
+)
 DOCUMENT_IS_CURRENT = Gauge(
     "cardamomrun_routed_document_is_current",
     "1 while control confirms that this instance has the newest document, else 0.",
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/placement.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/placement.py
@@ -164,7 +164,7 @@
         trial_when_full = self._trial_when_full(servers, criteria, now_ms)
         if trial_when_full is not None:
             return Choice(trial_when_full, ChoiceReason.TRIAL)
-        ratio = QUEUE_RATIOS[min(criteria.rank, len(QUEUE_RATIOS) - 1)]
+        ratio = QUEUE_RATIOS[max(0, min(criteria.rank, len(QUEUE_RATIOS) - 1))]
         with_room = [
             s
             for s in trusted
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/refusals.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/refusals.py
@@ -36,10 +36,13 @@
 class RequestFailedError(Exception):
     """Ends the request with an error response of the gateway itself."""
 
-    def __init__(self, kind: str, outcome: Outcome) -> None:
+    def __init__(
+        self, kind: str, outcome: Outcome, headers: dict[str, str] | None = None
+    ) -> None:
         super().__init__(kind)
         self.kind = kind
         self.outcome = outcome
+        self.headers = headers
 
 
 def refusal(
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/request_relay.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/request_relay.py
@@ -10,6 +10,7 @@
 from cardamomrun_base.logs import ComponentLog
 from cardamomrun_base.outcomes import Done, NotRun
 from cardamomrun_gateway import metrics
+from cardamomrun_gateway.organisations import name_to_header
 from cardamomrun_gateway.paths import PeerPaths
 from cardamomrun_gateway.routed_request import RoutedRequest
 from cardamomrun_gateway.server_attempt import (
@@ -50,8 +51,9 @@
 class RequestRelay:
     """Sends one request to other instances until one serves it.
 
-    The other instance sees a client's request with an additional header, makes the
-    attempts and applies all limits. It never asks a third one. `close` ends a request
+    The other instance sees a client's request with additional headers, makes the
+    attempts and applies all limits. The organisation's name takes the place of its key,
+    which was checked and counted here. It never asks a third one. `close` ends a request
     that is in flight, and so cancels it there.
     """
 
@@ -134,8 +136,13 @@
         )
         headers[names.RELAYED_FOR] = self._routed.request.remote_ip
         headers[names.RELAYED_BY] = self._own_address
+        hop_names = [names.RELAYED_FOR, names.RELAYED_BY]
+        organisation = self._routed.organisation
+        if organisation is not None:
+            headers[names.RELAYED_ORGANISATION] = name_to_header(organisation.name)
+            hop_names.append(names.RELAYED_ORGANISATION)
         # Named here, headers end at the other instance.
-        headers["Connection"] = f"close, {names.RELAYED_FOR}, {names.RELAYED_BY}"
+        headers["Connection"] = ", ".join(("close", *hop_names))
         return headers
 
     async def _classify(
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/routed_request.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/routed_request.py
@@ -4,9 +4,11 @@
 
 from tornado.httputil import HTTPHeaders
 
+from cardamomrun_base import headers as names
 from cardamomrun_base.clock import Clock
 from cardamomrun_base.headers import GatewayHeaders
-from cardamomrun_base.routing_document import RoutingRoute
+from cardamomrun_base.routing_document import Organisation, RoutingRoute
+from cardamomrun_gateway.organisations import combined_rank, name_to_header
 from cardamomrun_requests.framing import end_to_end_headers
 from cardamomrun_requests.request import ClientRequest
 
@@ -45,7 +47,11 @@
 
 @dataclass(frozen=True)
 class RoutedRequest:
-    """What all attempts of a request share; times are of the local clock, in ms."""
+    """What all attempts of a request share; times are of the local clock, in ms.
+
+    `hides_key`: the request's key and any name of an organisation from its client stay
+    here, since the document has organisations.
+    """
 
     request: ClientRequest
     route: RoutingRoute
@@ -53,6 +59,13 @@
     document_number: int
     arrived_ms: float
     deadline_ms: float
+    organisation: Organisation | None = None
+    hides_key: bool = False
+
+    @property
+    def rank(self) -> int:
+        """Priority of the request (0 is the highest)."""
+        return combined_rank(self.organisation, self.route)
 
     @property
     def is_idempotent(self) -> bool:
@@ -78,10 +91,36 @@
     def forwarded_headers(
         self, header_names: GatewayHeaders, remaining_ms: float
     ) -> HTTPHeaders:
-        """Return the client's headers with what is left until the deadline."""
+        """Return the client's headers with what is left until the deadline.
+
+        Where the document has organisations, the key is left out, and only the fleet
+        names the organisation.
+        """
         headers = end_to_end_headers(self.request.headers)
+        # Only the relay sets it: another instance would believe it.
+        _remove(headers, names.RELAYED_ORGANISATION)
+        if self.hides_key:
+            _remove(headers, names.AUTHORIZATION)
+            _remove(headers, header_names.organisation)
+        if self.organisation is not None:
+            name = name_to_header(self.organisation.name)
+            headers[header_names.organisation] = name
         headers[header_names.deadline_ms] = str(max(1, int(remaining_ms)))
         length = self.request.body.length
         if length is not None and (length > 0 or "Content-Length" in headers):
             headers["Content-Length"] = str(length)
         return headers
+
+
+def _remove(headers: HTTPHeaders, name: str) -> None:
+    """Remove a header, also where underscores are written for its hyphens.
+
+    Some servers don't tell the two apart.
+    """
+    removed = _comparable(name)
+    for other in [other for other in headers if _comparable(other) == removed]:
+        del headers[other]
+
+
+def _comparable(name: str) -> str:
+    return name.lower().replace("_", "-")
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/table.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/table.py
@@ -12,6 +12,7 @@
     RoutingRoute,
     unpack_routing,
 )
+from cardamomrun_gateway.organisations import OrganisationIndex
 
 __all__ = ["RoutingTable", "WeightedSplit"]
 
@@ -48,7 +49,7 @@
     """Finds the route of a request in the document with the highest number.
 
     `document` is None until one is known. `idempotent_services` are the services with
-    at least one idempotent route.
+    at least one idempotent route, and `organisations` finds those of the document.
     """
 
     def __init__(
@@ -57,6 +58,7 @@
         self._random = randomness or random.Random()
         self.document: RoutingDocument | None = None
         self.idempotent_services: frozenset[str] = frozenset()
+        self.organisations = OrganisationIndex(None)
         self._routes: dict[str, dict[str, RoutingRoute]] = {}
         self._splits: dict[str, WeightedSplit] = {}
         store.subscribe(RecordKind.ROUTING, self._put_in_force)
@@ -115,12 +117,14 @@
             for part in route.split
             if part.weight > 0
         )
+        self.organisations = OrganisationIndex(document.organisations)
         self._routes = routes
         self._splits = {}
         _log.info(
             "a routing document is in force",
             number=document.number,
             route_count=len(document.routes),
+            organisation_count=len(document.organisations or ()),
         )
 
 
--- a/packages/cardamomrun-gateway/tests/builders.py
+++ b/packages/cardamomrun-gateway/tests/builders.py
@@ -161,10 +161,14 @@
 ]
 
 
-def document(number=1, routes=None, services=(SERVICE,), source=b"{}"):
+def document(
+    number=1, routes=None, services=(SERVICE,), source=b"{}", organisations=None
+):
     routes = tuple(routes) if routes is not None else (route(),)
     listed = tuple(RoutedService(name) for name in services)
-    return RoutingDocument(number, routes, listed, source=source)
+    return RoutingDocument(
+        number, routes, listed, source=source, organisations=organisations
+    )
 
 
 def routing_record(content):
@@ -296,6 +300,7 @@
         placement = Placement(self.clock, self.load, "kelowna-a", 0.7, random.Random(1))
         self.shutdown = Shutdown(self.clock, settings.grace_ms)
         self.has_newest_document = True
+        self.may_be_revoked = False
         self.front = GatewayFront(
             self.settings,
             self.clock,
@@ -311,7 +316,12 @@
                 self.peers,
                 BackgroundTasks(),
                 self.shutdown,
-                RequestAdmission(tools, self.table, lambda: self.has_newest_document),
+                RequestAdmission(
+                    tools,
+                    self.table,
+                    lambda: self.has_newest_document,
+                    lambda: self.may_be_revoked,
+                ),
                 Refusals(tools, self.load, placement),
             ),
             connections,
--- a/packages/cardamomrun-gateway/tests/test_document_check.py
+++ b/packages/cardamomrun-gateway/tests/test_document_check.py
@@ -245,3 +245,25 @@
         assert len(fetches) <= 1
 
     asyncio.run(main())
+
+
+def test_the_age_of_a_confirmation_counts_for_the_document_in_force():
+    """Guards against strict revocation that accepts keys of a superseded document."""
+
+    async def main():
+        entry = Entry()
+        assert entry.check.confirmed_age_ms == float("inf")
+        async with entry.running():
+            await until(lambda: entry.check.is_current)
+            entry.clock.offset_ms += 60_000.0
+            await until(lambda: entry.check.confirmed_age_ms < 30_000.0)
+            # The newer document is known to exist but does not arrive.
+            entry.near.number = entry.far.number = 2
+            await until(lambda: entry.check._newest == 2)
+            entry.clock.offset_ms += 60_000.0
+            await until(lambda: entry.check._confirmed_ms > entry.clock.now_ms() - 500)
+            assert 60_000.0 <= entry.check.confirmed_age_ms < 90_000.0
+            entry.fleet.store.put(routing_record(document(2)))
+            assert entry.check.confirmed_age_ms < 30_000.0
+
+    asyncio.run(main())
--- a/packages/cardamomrun-node/src/cardamomrun_node/gateway_node.py
+++ b/packages/cardamomrun-node/src/cardamomrun_node/gateway_node.py
@@ -118,9 +118,13 @@
         _log.info(f"serves as {', '.join(self._settings.roles)}")
 
     def reload(self, settings: NodeSettings) -> None:
-        """Apply new seeds and retry limits; log which changes need a restart."""
+        """Apply new seeds, retry limits and rules for keys.
+
+        The log names the changes that need a restart.
+        """
         gateway = settings.gateway or GatewaySettings()
         self.fleet.use_seeds(settings.fleet.seeds)
+        self._gateway = gateway
         self._budget.update_settings(gateway)
         deferred = fields_needing_restart(self._settings, settings)
         _log.info(
@@ -128,9 +132,17 @@
             seeds=settings.fleet.seeds,
             retry_ratio=gateway.retry_ratio,
             retry_slack_count=gateway.retry_slack_count,
+            has_strict_revocation=gateway.has_strict_revocation,
             from_next_start=deferred,
         )
 
+    def _may_be_revoked(self, documents: DocumentCheck) -> bool:
+        """Return True while strict revocation forbids to accept keys."""
+        return (
+            self._gateway.has_strict_revocation
+            and documents.confirmed_age_ms > self._gateway.revoke_ms
+        )
+
     def begin_stop(self) -> None:
         """Begin the grace period, in which `stop` has to end."""
         self._shutdown.begin()
@@ -187,7 +199,12 @@
             self._peers,
             BackgroundTasks(),
             self._shutdown,
-            RequestAdmission(attempt_tools, self.table, lambda: documents.is_current),
+            RequestAdmission(
+                attempt_tools,
+                self.table,
+                lambda: documents.is_current,
+                lambda: self._may_be_revoked(documents),
+            ),
             Refusals(attempt_tools, load, placement),
         )
         self._front = GatewayFront(settings, clock, self._headers, tools, connections)
--- a/packages/cardamomrun-requests/src/cardamomrun_requests/exchange.py
+++ b/packages/cardamomrun-requests/src/cardamomrun_requests/exchange.py
@@ -9,7 +9,7 @@
 from cardamomrun_base.clock import MS_PER_S
 from cardamomrun_base.documents import IdempotencyKeyRule
 from cardamomrun_base.interfaces import ClaimKey, Environment
-from cardamomrun_base.logs import ComponentLog
+from cardamomrun_base.logs import ComponentLog, describe_error
 from cardamomrun_requests import metrics
 from cardamomrun_requests.admission import RefusedError
 from cardamomrun_requests.attempt import (
@@ -107,7 +107,7 @@
     async def _send_internal_error(self, error: Exception) -> None:
         _log.error(
             "a request failed unexpectedly",
-            error=repr(error),
+            error=describe_error(error),
             request_id=self._request.request_id,
         )
         internal = self._state.error(
