--- a/tests/adapter/test_settings_reload.py
+++ b/tests/adapter/test_settings_reload.py
@@ -81,3 +81,23 @@
     assert budget.allows_retry(1)
     budget.update_settings(GatewaySettings(retry_slack_count=0, retry_ratio=0.1))
     assert not budget.allows_retry(1)
+
+
+def test_strict_revocation_applies_without_a_restart(tmp_path):
+    """Guards against instances that accept keys by a rule that operators replaced."""
+    path = tmp_path / "local.yaml"
+    old = node_settings(path)
+    node = SimpleNamespace(
+        fleet=SimpleNamespace(use_seeds=lambda seeds: None),
+        _budget=RetryBudget(GatewaySettings(), ManualClock()),
+        _settings=old,
+        _gateway=old.gateway,
+    )
+    documents = SimpleNamespace(confirmed_age_ms=5_001.0)
+    assert not GatewayNode._may_be_revoked(node, documents)
+    strict = replace(old.gateway, has_strict_revocation=True)
+    GatewayNode.reload(node, replace(old, gateway=strict))
+    assert GatewayNode._may_be_revoked(node, documents)
+    assert not GatewayNode._may_be_revoked(
+        node, SimpleNamespace(confirmed_age_ms=5_000.0)
+    )
