Refuse texts in manifests that UTF-8 cannot encode

JSON escapes can state half of a surrogate pair. The manifest was accepted and encoding it for the log raised UnicodeEncodeError, which was answered with 500 instead of 400.

--- a/tests/adapter/test_organisations.py
+++ b/tests/adapter/test_organisations.py
@@ -68,6 +68,9 @@
     "keys as a text": manifest(tenants=[tenant(api_keys=KEY)]),
     "a key in a list": manifest(tenants=[tenant(api_keys=[[KEY]])]),
     "a key that is a number": manifest(tenants=[tenant(api_keys=[KEY, 7])]),
+    "a key that UTF-8 cannot encode": manifest(
+        tenants=[tenant(api_keys=[f"{KEY}\ud800"])]
+    ),
     "a negative rate": manifest(tenants=[tenant(rate_per_s=-1)]),
     "an infinite rate": manifest(tenants=[tenant(rate_per_s=float("inf"))]),
     "a rate that is no number": manifest(tenants=[tenant(rate_per_s=float("nan"))]),
