--- a/packages/cardamomrun-base/src/cardamomrun_base/settings.py
+++ b/packages/cardamomrun-base/src/cardamomrun_base/settings.py
@@ -108,6 +108,10 @@
     `hedge_ratio` is the share of the requests that may be repeated which may get a second
     attempt while the first one is slow; 0 is none. Without it, attempts that are overdue
     get one within the retry budget.
+
+    With `has_strict_revocation`, requests with keys are refused once the routing document
+    was last confirmed longer than `revoke_ms` ago. An organisation may exceed its quota
+    in `quota_window_ms` by `quota_over_ratio`, and by `quota_slack_count` requests.
     """
 
     __pydantic_config__ = STRICT
@@ -120,6 +124,11 @@
     report_idle_ms: Annotated[int, Field(ge=20, le=10_000)] = 250
     connection_idle_ms: Annotated[int, Field(ge=100, le=600_000)] = 4_000
     hedge_ratio: Annotated[float, Field(ge=0, le=0.5)] | None = None
+    has_strict_revocation: bool = False
+    revoke_ms: Annotated[int, Field(ge=1_000, le=600_000)] = 5_000
+    quota_window_ms: Annotated[int, Field(ge=1_000, le=600_000)] = 5_000
+    quota_over_ratio: Annotated[float, Field(ge=0, le=1)] = 0.1
+    quota_slack_count: Annotated[int, Field(ge=0, le=100_000)] = 20
 
 
 @dataclass(frozen=True)
