Decide on fleet-wide quotas of organisations without a network

An organisation's requests are to be limited over all instances together, reachable or not, and an organisation inside its quota is not to lose any.

--- a/packages/cardamomrun-base/src/cardamomrun_base/settings.py
+++ b/packages/cardamomrun-base/src/cardamomrun_base/settings.py
@@ -104,7 +104,9 @@
 
     The retry budget bounds the retries of the whole fleet for a service:
     `retry_ratio` of its requests in `retry_window_ms`, and `retry_slack_count` more.
-    `grace_ms` is the longest time that the shutdown of an instance may take.
+    `grace_ms` is the longest time that the shutdown of an instance may take. In each
+    `quota_window_ms`, an organisation's requests at backend servers exceed its quota by
+    at most `quota_over_ratio` and `quota_slack_count` more.
     """
 
     __pydantic_config__ = STRICT
@@ -116,6 +118,9 @@
     grace_ms: Annotated[int, Field(ge=500, le=600_000)] = 6_000
     report_idle_ms: Annotated[int, Field(ge=20, le=10_000)] = 250
     connection_idle_ms: Annotated[int, Field(ge=100, le=600_000)] = 4_000
+    quota_window_ms: Annotated[int, Field(ge=1_000, le=600_000)] = 5_000
+    quota_over_ratio: Annotated[float, Field(ge=0, le=1)] = 0.1
+    quota_slack_count: Annotated[int, Field(ge=0, le=100_000)] = 20
 
 
 @dataclass(frozen=True)
