Limit organisations over all instances with leases from token servers

Requests of organisations were not limited.

The organisation of a request comes with the admission by keys.

--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/dispatch.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/dispatch.py
@@ -21,6 +21,7 @@
     Placement,
     PlacementCriteria,
 )
+from cardamomrun_gateway.quotas import Quotas
 from cardamomrun_gateway.refusals import (
     RETRY_SOON_S,
     Refusals,
@@ -81,6 +82,7 @@
     shutdown: Shutdown
     admission: RequestAdmission
     refusals: Refusals
+    quotas: Quotas
 
 
 class RequestDispatch:
@@ -151,6 +153,7 @@
                 routed.remaining_ms(self._clock) + DEADLINE_GRACE_MS
             ) / MS_PER_S
             async with asyncio.timeout(remaining_s):
+                await self._tools.quotas.check(routed, is_relayed=self._is_relayed)
                 await self._request.body.read_prefix()
                 self._check_crashes()
                 if self._should_run_elsewhere():
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/metrics.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/metrics.py
@@ -12,6 +12,10 @@
     "LIMITED_ATTEMPTS",
     "PATHS_LOST",
     "PERMITS",
+    "QUOTA_DECISIONS",
+    "QUOTA_NO_ANSWERS",
+    "QUOTA_ORGANISATIONS_OVER",
+    "QUOTA_TOKENS",
     "REFUSALS",
     "RELAYED",
     "REQUESTS",
@@ -93,3 +97,20 @@
     "Documents fetched from control since they did not arrive by themselves, by result.",
     ("result",),
 )
+QUOTA_DECISIONS = Counter(
+    "cardamomrun_routed_quota_decisions",
+    "Requests of organisations with a quota, by what admitted or refused them.",
+    ("outcome",),
+)
+QUOTA_NO_ANSWERS = Counter(
+    "cardamomrun_routed_quota_no_answers",
+    "Questions for leases that the token server did not answer.",
+)
+QUOTA_TOKENS = Counter(
+    "cardamomrun_routed_quota_tokens",
+    "Tokens of organisations that this instance granted as their token server.",
+)
+QUOTA_ORGANISATIONS_OVER = Gauge(
+    "cardamomrun_routed_organisations_over_quota",
+    "Organisations over their quota whose token server this instance is.",
+)
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/routed_request.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/routed_request.py
@@ -6,7 +6,7 @@
 
 from cardamomrun_base.clock import Clock
 from cardamomrun_base.headers import GatewayHeaders
-from cardamomrun_base.routing_document import RoutingRoute
+from cardamomrun_base.routing_document import Organisation, RoutingRoute
 from cardamomrun_requests.framing import end_to_end_headers
 from cardamomrun_requests.request import ClientRequest
 
@@ -53,6 +53,7 @@
     document_number: int
     arrived_ms: float
     deadline_ms: float
+    organisation: Organisation | None = None
 
     @property
     def is_idempotent(self) -> bool:
--- a/packages/cardamomrun-gateway/tests/builders.py
+++ b/packages/cardamomrun-gateway/tests/builders.py
@@ -50,6 +50,7 @@
 from cardamomrun_gateway.paths import OwnPaths, PeerPaths
 from cardamomrun_gateway.permits import Permits
 from cardamomrun_gateway.placement import Placement, PlacementCriteria
+from cardamomrun_gateway.quotas import Quotas
 from cardamomrun_gateway.refusals import Refusals
 from cardamomrun_gateway.request_admission import RequestAdmission
 from cardamomrun_gateway.retry_budget import RetryBudget
@@ -275,6 +276,9 @@
         self.reports = LoadReports(
             self.settings, self.clock, self.fleet, self.load, self.budget
         )
+        self.quotas = Quotas(
+            settings, self.clock, self.fleet, self.load, self.table, self.reports
+        )
         self.connections = connections = ServerConnections(
             settings, self.clock, self.load, link
         )
@@ -313,6 +317,7 @@
                 self.shutdown,
                 RequestAdmission(tools, self.table, lambda: self.has_newest_document),
                 Refusals(tools, self.load, placement),
+                self.quotas,
             ),
             connections,
         )
--- a/packages/cardamomrun-gateway/tests/test_permits.py
+++ b/packages/cardamomrun-gateway/tests/test_permits.py
@@ -20,35 +20,11 @@
     server_body,
     server_record,
 )
+from .datagram_network import Network
 
 LIMIT_PER_S = 10.0
 
 
-class Network:
-    """Carries datagrams between instances at once; `is_cut` loses them."""
-
-    def __init__(self):
-        self.handlers = {}
-        self.is_cut = False
-        self.sent_count = 0
-
-    def port(self, address):
-        return _Port(self, address)
-
-
-class _Port:
-    def __init__(self, network, address):
-        self.network, self.address = network, address
-
-    def add_handler(self, kind, handler):
-        self.network.handlers[self.address, kind] = handler
-
-    def send(self, data, address):
-        self.network.sent_count += 1
-        if not self.network.is_cut:
-            self.network.handlers[address, data[:1]](data[1:], self.address)
-
-
 class Instance:
     def __init__(self, network, clock, name, port):
         self.clock = clock
--- a/packages/cardamomrun-node/src/cardamomrun_node/gateway_node.py
+++ b/packages/cardamomrun-node/src/cardamomrun_node/gateway_node.py
@@ -21,6 +21,7 @@
 from cardamomrun_gateway.paths import OwnPaths, PeerPaths
 from cardamomrun_gateway.permits import Permits
 from cardamomrun_gateway.placement import Placement
+from cardamomrun_gateway.quotas import Quotas
 from cardamomrun_gateway.refusals import Refusals
 from cardamomrun_gateway.request_admission import RequestAdmission
 from cardamomrun_gateway.retry_budget import RetryBudget
@@ -78,6 +79,7 @@
             settings, clock, self.fleet, self._load, self._budget
         )
         self._shutdown = Shutdown(clock, self._gateway.grace_ms)
+        self._quotas: Quotas | None = None
         self._front: GatewayFront | None = None
         self._stack = AsyncExitStack()
         if Role.CONTROL in settings.roles:
@@ -118,10 +120,12 @@
         _log.info(f"serves as {', '.join(self._settings.roles)}")
 
     def reload(self, settings: NodeSettings) -> None:
-        """Apply new seeds and retry limits; log which changes need a restart."""
+        """Apply new seeds, retry limits and quota bounds; log which changes need a restart."""
         gateway = settings.gateway or GatewaySettings()
         self.fleet.use_seeds(settings.fleet.seeds)
         self._budget.update_settings(gateway)
+        if self._quotas is not None:
+            self._quotas.update_settings(gateway)
         deferred = fields_needing_restart(self._settings, settings)
         _log.info(
             "has reloaded its settings",
@@ -174,7 +178,11 @@
         documents = DocumentCheck(
             clock, self.fleet, self.table, self._reports, settings.failure_domain
         )
+        self._quotas = quotas = Quotas(
+            self._gateway, clock, self.fleet, load, self.table, self._reports
+        )
         self._start_loop(documents.run, stack)
+        self._start_loop(quotas.run, stack)
         await documents.wait_first(FIRST_CONFIRMATION_MS)
         tools = DispatchDependencies(
             attempt_tools,
@@ -189,6 +197,7 @@
             self._shutdown,
             RequestAdmission(attempt_tools, self.table, lambda: documents.is_current),
             Refusals(attempt_tools, load, placement),
+            quotas,
         )
         self._front = GatewayFront(settings, clock, self._headers, tools, connections)
         await self._front.start()
