--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/dispatch.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/dispatch.py
@@ -22,6 +22,7 @@
     Placement,
     PlacementCriteria,
 )
+from cardamomrun_gateway.quotas import Quotas
 from cardamomrun_gateway.refusals import (
     RETRY_SOON_S,
     Refusals,
@@ -81,6 +82,7 @@
     admission: RequestAdmission
     refusals: Refusals
     hedging: Hedging
+    quotas: Quotas
 
 
 class RequestDispatch:
@@ -154,6 +156,7 @@
                 routed.remaining_ms(self._clock) + DEADLINE_GRACE_MS
             ) / MS_PER_S
             async with asyncio.timeout(remaining_s):
+                await self._tools.quotas.check(routed, is_relayed=self._is_relayed)
                 await self._request.body.read_prefix()
                 self._check_crashes()
                 if self._should_run_elsewhere():
--- a/packages/cardamomrun-node/src/cardamomrun_node/gateway_node.py
+++ b/packages/cardamomrun-node/src/cardamomrun_node/gateway_node.py
@@ -22,6 +22,7 @@
 from cardamomrun_gateway.paths import OwnPaths, PeerPaths
 from cardamomrun_gateway.permits import Permits
 from cardamomrun_gateway.placement import Placement
+from cardamomrun_gateway.quotas import Quotas
 from cardamomrun_gateway.refusals import Refusals
 from cardamomrun_gateway.request_admission import RequestAdmission
 from cardamomrun_gateway.retry_budget import RetryBudget
@@ -81,6 +82,7 @@
         self._route_times = RouteTimes()
         self._hedging = Hedging(self._gateway, self._route_times)
         self._shutdown = Shutdown(clock, self._gateway.grace_ms)
+        self._quotas: Quotas | None = None
         self._front: GatewayFront | None = None
         self._stack = AsyncExitStack()
         if Role.CONTROL in settings.roles:
@@ -121,7 +123,7 @@
         _log.info(f"serves as {', '.join(self._settings.roles)}")
 
     def reload(self, settings: NodeSettings) -> None:
-        """Apply new seeds, retry limits and rules for keys.
+        """Apply new seeds, retry limits, quota bounds and rules for keys.
 
         The log names the changes that need a restart.
         """
@@ -130,6 +132,8 @@
         self._gateway = gateway
         self._budget.update_settings(gateway)
         self._hedging.update_settings(gateway)
+        if self._quotas is not None:
+            self._quotas.update_settings(gateway)
         deferred = fields_needing_restart(self._settings, settings)
         _log.info(
             "has reloaded its settings",
@@ -191,7 +195,11 @@
         documents = DocumentCheck(
             clock, self.fleet, self.table, self._reports, settings.failure_domain
         )
+        self._quotas = quotas = Quotas(
+            self._gateway, clock, self.fleet, load, self.table, self._reports
+        )
         self._start_loop(documents.run, stack)
+        self._start_loop(quotas.run, stack)
         await documents.wait_first(FIRST_CONFIRMATION_MS)
         tools = DispatchDependencies(
             attempt_tools,
@@ -212,6 +220,7 @@
             ),
             Refusals(attempt_tools, load, placement),
             self._hedging,
+            quotas,
         )
         self._front = GatewayFront(settings, clock, self._headers, tools, connections)
         await self._front.start()
