Count bytes by kind of message and failure domain

TrafficMeter counts the payload of what an instance sends, with the failure domains of other instances from their member records; streams to backend servers count the bytes of their sockets, and HandlerTime the processor time of handlers by kind.

Counting at the callers was ruled out: a datagram names its kind in the first byte and a message on a link in its type, so one call in LoadReports.send and one in Link._write count each message once.

The test of the send queue passes the two new arguments of Link; it checks the same as before.

--- a/packages/cardamomrun-base/src/cardamomrun_base/codec.py
+++ b/packages/cardamomrun-base/src/cardamomrun_base/codec.py
@@ -10,7 +10,7 @@
 
 from cardamomrun_base.errors import CardamomrunError
 
-__all__ = ["CodecError", "decode", "encode", "message"]
+__all__ = ["CodecError", "decode", "encode", "message", "message_name"]
 
 Converter = Callable[[Any], Any]
 MessageType = TypeVar("MessageType", bound=type)
@@ -47,6 +47,11 @@
     return register
 
 
+def message_name(cls: type) -> str:
+    """Return the name on the wire of a registered data class; empty for others."""
+    return _names_by_type.get(cls, "")
+
+
 @cache
 def _adapter(cls: Any) -> TypeAdapter:
     return TypeAdapter(cls)
--- a/packages/cardamomrun-fleet/src/cardamomrun_fleet/fleet.py
+++ b/packages/cardamomrun-fleet/src/cardamomrun_fleet/fleet.py
@@ -49,6 +49,7 @@
     batches,
     merge_batch,
 )
+from cardamomrun_fleet.handler_time import HandlerTime
 from cardamomrun_fleet.links import (
     Link,
     LinkPurpose,
@@ -65,6 +66,7 @@
     Source,
     Store,
 )
+from cardamomrun_fleet.traffic import MessageKind, TrafficMeter
 
 __all__ = ["Fleet"]
 
@@ -139,6 +141,8 @@
         self._store = Store(clock)
         self.store: RecordStore = self._store
         self.traffic = TrafficCounters()
+        self.meter = TrafficMeter(settings.failure_domain, self._store)
+        self.handler_time = HandlerTime()
         self.membership = Membership(settings, clock, self._store)
         self._settings = settings
         self._clock = clock
@@ -470,7 +474,9 @@
             return
         if not self._flood_queue:
             loop = asyncio.get_running_loop()
-            loop.call_later(self._flood_delay_ms() / MS_PER_S, self._flood)
+            delay_s = self._flood_delay_ms() / MS_PER_S
+            flood = MessageKind.FLOOD
+            loop.call_later(delay_s, self.handler_time.run, flood, self._flood)
         # Of several changes of one record only the last is flooded.
         self._flood_queue[held.record.kind, held.record.key] = (held, source)
 
@@ -622,7 +628,8 @@
                 continue
             link = self._overlay_link(self._random.choice(peers))
             if link is not None:
-                self._spawn(self._exchange_with_peer(link))
+                exchange = self._exchange_with_peer(link)
+                self._spawn(self.handler_time.run_steps(MessageKind.EXCHANGE, exchange))
 
     async def _exchange_with_peer(self, link: Link) -> None:
         self._exchanging.add(link.peer_id)
@@ -683,6 +690,8 @@
             purpose=purpose,
             clock=self._clock,
             counters=self.traffic,
+            meter=self.meter,
+            handler_time=self.handler_time,
         )
 
     async def _run_link(self, link: Link) -> None:
--- a/packages/cardamomrun-fleet/src/cardamomrun_fleet/links.py
+++ b/packages/cardamomrun-fleet/src/cardamomrun_fleet/links.py
@@ -7,14 +7,15 @@
 import socket
 import ssl
 from collections import deque
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass
 from enum import StrEnum
+from functools import partial
 from typing import Any
 
-from websockets.asyncio.client import connect
+from websockets.asyncio.client import ClientConnection, connect
 from websockets.asyncio.connection import Connection
-from websockets.asyncio.server import Server, serve
+from websockets.asyncio.server import Server, ServerConnection, serve
 from websockets.exceptions import ConnectionClosed, WebSocketException
 
 from cardamomrun_base.clock import MS_PER_S, Clock
@@ -36,6 +37,14 @@
     Proof,
     Refusal,
 )
+from cardamomrun_fleet.handler_time import HandlerTime
+from cardamomrun_fleet.traffic import (
+    Share,
+    TrafficMeter,
+    kind_of,
+    kind_of_encoded,
+    message_shares,
+)
 
 __all__ = [
     "Link",
@@ -67,6 +76,8 @@
 CLOSE_REFUSED = 4_401
 CLOSE_NOT_NEEDED = 4_000
 
+RequestHandler = Callable[["Link", Any], Coroutine[Any, Any, Any]]
+
 ONE_WAY = 0
 REQUEST = 1
 ANSWER = 2
@@ -123,7 +134,7 @@
 
     def __init__(
         self,
-        connection: Connection,
+        connection: Any,
         peer_id: InstanceId,
         peer_incarnation: int,
         *,
@@ -131,6 +142,8 @@
         purpose: LinkPurpose,
         clock: Clock,
         counters: TrafficCounters,
+        meter: TrafficMeter,
+        handler_time: HandlerTime,
     ) -> None:
         self.peer_id = peer_id
         self.peer_incarnation = peer_incarnation
@@ -141,7 +154,10 @@
         self._connection = connection
         self._clock = clock
         self._counters = counters
-        self._queue: deque[bytes] = deque()
+        self._meter = meter
+        self._handler_time = handler_time
+        connection.on_ping = partial(meter.count_ping, peer_id)
+        self._queue: deque[tuple[bytes, tuple[Share, ...]]] = deque()
         self._queue_bytes = 0
         self._frames_queued = asyncio.Event()
         self._drained = asyncio.Event()
@@ -161,7 +177,7 @@
 
         Closes the link if the send queue is full.
         """
-        return self._send(ONE_WAY, 0, encode(content))
+        return self._send(ONE_WAY, 0, encode(content), message_shares(content))
 
     async def stream(self, content: Any) -> bool:
         """Queue a one-way message; return False if the link is closed.
@@ -185,7 +201,8 @@
         answer = asyncio.get_running_loop().create_future()
         self._pending_answers[correlation] = answer
         try:
-            if not self._send(REQUEST, correlation, encode(content)):
+            shares = message_shares(content)
+            if not self._send(REQUEST, correlation, encode(content), shares):
                 raise _unreachable(self.peer_id)
             async with asyncio.timeout(timeout_ms / MS_PER_S):
                 return await answer
@@ -200,7 +217,7 @@
     async def run(
         self,
         on_message: Callable[["Link", Any], None],
-        on_request: Callable[["Link", Any], Awaitable[Any]],
+        on_request: RequestHandler,
     ) -> None:
         """Read frames until the connection ends.
 
@@ -238,7 +255,9 @@
         self._mark_closed()
         self._connection.transport.abort()
 
-    def _send(self, kind: int, correlation: int, body: bytes) -> bool:
+    def _send(
+        self, kind: int, correlation: int, body: bytes, shares: tuple[Share, ...]
+    ) -> bool:
         if self.closed:
             return False
         frame = encode(Envelope(kind, correlation, body))
@@ -254,7 +273,7 @@
             )
             self.abort()
             return False
-        self._queue.append(frame)
+        self._queue.append((frame, shares))
         self._queue_bytes = queue_bytes
         self._frames_queued.set()
         return True
@@ -265,12 +284,13 @@
                 await self._frames_queued.wait()
                 self._frames_queued.clear()
                 while self._queue:
-                    frame = self._queue[0]
+                    frame, shares = self._queue[0]
                     await self._connection.send(frame)
                     self._queue.popleft()
                     self._queue_bytes -= len(frame)
                     self._counters.sent_bytes += len(frame)
                     self._counters.sent_count += 1
+                    self._meter.count_frame(self.peer_id, len(frame), shares)
                     if self._queue_bytes <= STREAM_QUEUE_BYTES // 2 or not self._queue:
                         self._drained.set()
 
@@ -278,7 +298,7 @@
         self,
         frame: str | bytes,
         on_message: Callable[["Link", Any], None],
-        on_request: Callable[["Link", Any], Awaitable[Any]],
+        on_request: RequestHandler,
     ) -> None:
         if self.closed or not isinstance(frame, bytes):
             return
@@ -289,14 +309,17 @@
         if not isinstance(envelope, Envelope):
             return
         try:
-            content = decode(envelope.body) if envelope.body else None
+            content = None
+            kind = kind_of_encoded(envelope.body)
+            if envelope.body:
+                content = self._handler_time.run(kind, decode, envelope.body)
         except CodecError as error:
             # A peer of another release may send message types that are unknown here.
             log.warning(f"message cannot be decoded: {error}", peer_id=self.peer_id)
             self._reject_unreadable(envelope)
             return
         if envelope.kind == ONE_WAY:
-            on_message(self, content)
+            self._handler_time.run(kind, on_message, self, content)
         elif envelope.kind == REQUEST:
             self._start_handler(envelope.correlation, content, on_request)
         else:
@@ -305,7 +328,7 @@
     def _reject_unreadable(self, envelope: Envelope) -> None:
         """Fail the request whose message or whose answer cannot be decoded."""
         if envelope.kind == REQUEST:
-            self._send(FAILURE, envelope.correlation, b"")
+            self._send(FAILURE, envelope.correlation, b"", message_shares(None))
         elif envelope.kind == ANSWER:
             self._resolve_pending(Envelope(FAILURE, envelope.correlation, b""), None)
 
@@ -313,11 +336,11 @@
         self,
         correlation: int,
         content: Any,
-        on_request: Callable[["Link", Any], Awaitable[Any]],
+        on_request: RequestHandler,
     ) -> None:
         self.last_used_ms = self._clock.now_ms()
         if len(self._handler_tasks) >= MAX_RUNNING_REQUESTS:
-            self._send(FAILURE, correlation, b"")
+            self._send(FAILURE, correlation, b"", _answer_shares(content))
             return
         task = asyncio.create_task(self._run_handler(correlation, content, on_request))
         self._handler_tasks.add(task)
@@ -327,10 +350,12 @@
         self,
         correlation: int,
         content: Any,
-        on_request: Callable[["Link", Any], Awaitable[Any]],
+        on_request: RequestHandler,
     ) -> None:
         try:
-            result = await on_request(self, content)
+            result = await self._handler_time.run_steps(
+                kind_of(type(content)), on_request(self, content)
+            )
             body = encode(Acknowledgement() if result is None else result)
         except Exception as error:
             log.error(
@@ -338,9 +363,9 @@
                 peer_id=self.peer_id,
                 message=type(content).__name__,
             )
-            self._send(FAILURE, correlation, b"")
+            self._send(FAILURE, correlation, b"", _answer_shares(content))
         else:
-            self._send(ANSWER, correlation, body)
+            self._send(ANSWER, correlation, body, _answer_shares(content))
 
     def _resolve_pending(self, envelope: Envelope, content: Any) -> None:
         future = self._pending_answers.get(envelope.correlation)
@@ -374,6 +399,29 @@
                 future.set_exception(_timed_out(self.peer_id, "the link closed"))
 
 
+class _PingCounting:
+    """Calls `on_ping` for each ping that the library sends to keep a link alive."""
+
+    on_ping: Callable[[], None] | None = None
+
+    async def ping(self, *arguments: Any) -> Any:
+        if self.on_ping is not None:
+            self.on_ping()
+        return await super().ping(*arguments)  # type: ignore[misc]
+
+
+class _OpenedConnection(_PingCounting, ClientConnection):
+    pass
+
+
+class _AcceptedConnection(_PingCounting, ServerConnection):
+    pass
+
+
+def _answer_shares(request: Any) -> tuple[Share, ...]:
+    return ((kind_of(type(request)), 0),)
+
+
 def _unreachable(peer_id: InstanceId) -> PeerUnreachableError:
     return PeerUnreachableError(
         f"no link to peer {peer_id}.", remedy="check that it runs and can be reached"
@@ -416,6 +464,7 @@
         settings.peer_port,
         ssl=_tls_context(settings.tls, ssl.Purpose.CLIENT_AUTH),
         process_request=set_ping_interval,
+        create_connection=_AcceptedConnection,
         backlog=LISTEN_QUEUE_COUNT,
         **_websocket_options(settings, LinkPurpose.OVERLAY),
     )
@@ -440,6 +489,7 @@
             sock=await _connect_socket(address),
             ssl=_tls_context(settings.tls, ssl.Purpose.SERVER_AUTH),
             proxy=None,
+            create_connection=_OpenedConnection,
             **_websocket_options(settings, purpose),
         )
         try:
--- a/packages/cardamomrun-fleet/tests/builders.py
+++ b/packages/cardamomrun-fleet/tests/builders.py
@@ -7,7 +7,13 @@
 import time
 
 from cardamomrun_base.clock import SystemClock
-from cardamomrun_base.model import CrashBody, Record, RecordKind
+from cardamomrun_base.model import (
+    CrashBody,
+    MemberBody,
+    MemberPhase,
+    Record,
+    RecordKind,
+)
 from cardamomrun_base.settings import FleetSettings, NodeSettings, Role
 from cardamomrun_fleet import Fleet
 
@@ -17,6 +23,14 @@
     return Record.from_content(RecordKind.CRASH, key, "e1", version, body, lifetime_ms)
 
 
+def member_record(name, domain, port=1, phase=MemberPhase.SERVING, counter=1):
+    body = MemberBody(
+        name, 1, "bc-interior", domain, ("entry",), f"127.0.1.1:{port}", "",
+        f"127.0.0.1:{port}", phase,
+    )  # fmt: skip
+    return Record.from_content(RecordKind.MEMBER, name, name, (1, counter), body)
+
+
 # Each test process uses its own loopback address, and ports below the ephemeral range.
 # Otherwise another process or an outgoing connection could occupy the port of a fleet
 # before it starts.
--- a/packages/cardamomrun-fleet/tests/test_links.py
+++ b/packages/cardamomrun-fleet/tests/test_links.py
@@ -6,7 +6,10 @@
 from cardamomrun_base.clock import ManualClock
 from cardamomrun_base.messages import Acknowledgement
 from cardamomrun_fleet.exchange import RecordBatch
+from cardamomrun_fleet.handler_time import HandlerTime
 from cardamomrun_fleet.links import SEND_QUEUE_BYTES, Link, LinkPurpose, TrafficCounters
+from cardamomrun_fleet.store import Store
+from cardamomrun_fleet.traffic import TrafficMeter
 
 
 def test_a_peer_that_does_not_read_is_disconnected():
@@ -24,6 +27,8 @@
         purpose=LinkPurpose.OVERLAY,
         clock=ManualClock(),
         counters=counters,
+        meter=TrafficMeter("kelowna-a", Store(ManualClock())),
+        handler_time=HandlerTime(),
     )
     large = RecordBatch(((bytes(SEND_QUEUE_BYTES), 0),))
     assert link.send(large), "a single message may exceed the limit"
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/dispatch.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/dispatch.py
@@ -263,6 +263,7 @@
             self._tools.attempt_tools.notices,
             self._own_address,
             routed,
+            self._tools.attempt_tools.connections.meter,
         )
         result = await self._relay.run()
         if isinstance(result, ServerResponse):
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/load_reports.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/load_reports.py
@@ -16,6 +16,7 @@
 import asyncio
 import random
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 from cardamomrun_base.clock import MS_PER_S, Clock
@@ -23,7 +24,10 @@
 from cardamomrun_base.interfaces import Fleet
 from cardamomrun_base.logs import ComponentLog
 from cardamomrun_base.settings import GatewaySettings, NodeSettings, Role
+from cardamomrun_fleet.handler_time import HandlerTime
+from cardamomrun_fleet.traffic import MessageKind, TrafficMeter
 from cardamomrun_gateway import metrics
+from cardamomrun_gateway.datagram_kinds import datagram_kind
 from cardamomrun_gateway.domain_collector import (
     SILENT_INSTANCE_MS,
     DomainCollector,
@@ -106,6 +110,8 @@
         self._load = load
         self._budget = budget
         self._random = randomness or random.Random()
+        self._meter = TrafficMeter(settings.failure_domain, fleet.store)
+        self.handler_time = HandlerTime()
         self._own_load = OwnLoad(clock, settings.instance_id)
         self._transport: asyncio.DatagramTransport | None = None
         self._flush_due = False
@@ -173,6 +179,7 @@
         """Send a datagram, which may be lost; does nothing before the port is open."""
         if self._transport is not None and not self._transport.is_closing():
             self._transport.sendto(data, address)
+            self._meter.count_datagram(datagram_kind(data), address, len(data))
 
     def count_request(self, service: str) -> None:
         """Count a request for a service."""
@@ -225,6 +232,9 @@
 
     def datagram_received(self, data: bytes, addr: Any) -> None:
         """Handle a datagram: merge reports and messages, and forward as the relay."""
+        self.handler_time.run(datagram_kind(data), self._handle_datagram, data, addr)
+
+    def _handle_datagram(self, data: bytes, addr: Any) -> None:
         self._routes.mark_alive(addr)
         kind, body = data[:1], data[1:]
         try:
@@ -350,6 +360,9 @@
             loop.call_later(FLUSH_MS / MS_PER_S, self._flush)
 
     def _flush(self, *, is_urgent: bool = False) -> None:
+        self.handler_time.run(MessageKind.LOAD_REPORT, self._send_report, is_urgent)
+
+    def _send_report(self, is_urgent: bool) -> None:
         self._flush_due = False
         now_ms = self._clock.now_ms()
         # The relay forgets an instance that was paused for this long.
@@ -396,9 +409,10 @@
         self._remote_receivers = self.collector.add_receivers(
             REMOTE_SEND_COUNT, are_reporting=False
         )
-        self._local_timer = _Timer(clock, self._send_local)
-        self._remote_timer = _Timer(clock, self._send_remote)
-        self._urgent_timer = _Timer(clock, self._send_urgent)
+        run, kind = reports.handler_time.run, MessageKind.RELAY_MESSAGE
+        self._local_timer = _Timer(clock, partial(run, kind, self._send_local))
+        self._remote_timer = _Timer(clock, partial(run, kind, self._send_remote))
+        self._urgent_timer = _Timer(clock, partial(run, kind, self._send_urgent))
         self._local_delay_ms = COLLECT_MS
         self._remote_delay_ms = COLLECT_MS
         self._pending_forwards: list[bytes] = []
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/request_relay.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/request_relay.py
@@ -9,6 +9,7 @@
 from cardamomrun_base.headers import GatewayHeaders
 from cardamomrun_base.logs import ComponentLog
 from cardamomrun_base.outcomes import Done, NotRun
+from cardamomrun_fleet.traffic import TrafficMeter
 from cardamomrun_gateway import metrics
 from cardamomrun_gateway.paths import PeerPaths
 from cardamomrun_gateway.routed_request import RoutedRequest
@@ -63,7 +64,9 @@
         notices: ServerNotices,
         own_address: str,
         routed: RoutedRequest,
+        meter: TrafficMeter,
     ) -> None:
+        self._meter = meter
         self._clock = clock
         self._header_names = header_names
         self._peers = peers
@@ -72,6 +75,7 @@
         self._routed = routed
         self.may_have_run = False
         self._connection: UpstreamConnection | None = None
+        self._address = ""
         self._asked: set[str] = set()
 
     async def run(self) -> Result:
@@ -92,8 +96,11 @@
 
     def close(self) -> None:
         """Close the connection to the other instance."""
-        if self._connection is not None:
-            self._connection.close()
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            connection.close()
+            counts = connection.take_byte_counts()
+            self._meter.count_relayed_exchange(self._address, *counts)
 
     def _record(self, result: Result) -> None:
         label = {ServerResponse: "served", NotExecuted: "not-run", ResponseLost: "lost"}
@@ -113,6 +120,7 @@
         except ConnectError:
             return PATHS_LOST_KIND, NotExecuted("an instance could not be reached")
         self._connection = connection = UpstreamConnection(stream)
+        self._address = address
         request = self._routed.request
         self.may_have_run = True
         identity = EchoedHeader(names.REQUEST_ID, request.request_id)
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_connections.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_connections.py
@@ -6,6 +6,7 @@
 
 from cardamomrun_base.clock import MS_PER_S, Clock
 from cardamomrun_base.settings import GatewaySettings
+from cardamomrun_fleet.traffic import TrafficMeter
 from cardamomrun_gateway import metrics
 from cardamomrun_gateway.fleet_load import FleetLoad, Server
 from cardamomrun_gateway.link_queue import LinkQueue
@@ -29,8 +30,14 @@
     """Keeps idle connections by server; a connection serves one request at a time."""
 
     def __init__(
-        self, settings: GatewaySettings, clock: Clock, load: FleetLoad, link: LinkQueue
+        self,
+        settings: GatewaySettings,
+        clock: Clock,
+        load: FleetLoad,
+        link: LinkQueue,
+        meter: TrafficMeter,
     ) -> None:
+        self.meter = meter
         self._link = link
         self._settings = settings
         self._clock = clock
@@ -68,6 +75,8 @@
 
         `headers` are those of the response, with the server's idle timeout.
         """
+        failure_domain = server.body.failure_domain
+        self.meter.count_server_exchange(failure_domain, *connection.take_byte_counts())
         if not connection.reusable() or not self._load.is_current(server):
             connection.close()
             return
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_registry.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_registry.py
@@ -14,6 +14,7 @@
     RoutedServerBody,
     ServerId,
 )
+from cardamomrun_fleet.traffic import TrafficMeter
 
 if TYPE_CHECKING:
     from cardamomrun_control.routing_service import RoutingControl
@@ -66,7 +67,14 @@
     stop renewing. Renewals are not replicated.
     """
 
-    def __init__(self, clock: Clock, fleet: Fleet, control: "RoutingControl") -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        fleet: Fleet,
+        control: "RoutingControl",
+        meter: TrafficMeter,
+    ) -> None:
+        self._meter = meter
         self._clock = clock
         self._fleet = fleet
         self._control = control
@@ -81,6 +89,7 @@
         `AnnouncementError` if the server is known in this incarnation as one of another
         service: a run of a server doesn't change its service.
         """
+        self._meter.count_announcement(announcement.failure_domain)
         server_id = announcement.server_id
         current = self._fleet.store.get(RecordKind.ROUTED_SERVER, server_id)
         if current is not None:
--- a/packages/cardamomrun-gateway/tests/builders.py
+++ b/packages/cardamomrun-gateway/tests/builders.py
@@ -32,6 +32,7 @@
     Role,
 )
 from cardamomrun_bench.scripted_server import free_port, parse_response
+from cardamomrun_fleet.traffic import TrafficMeter
 from cardamomrun_gateway.crash_guard import CrashGuard
 from cardamomrun_gateway.dispatch import DispatchDependencies
 from cardamomrun_gateway.fleet_load import FleetLoad
@@ -121,6 +122,11 @@
     )  # fmt: skip
 
 
+def member_record(name, domain="kelowna-a", port=1):
+    body = member(name, domain, port=port)
+    return Record.from_content(RecordKind.MEMBER, name, name, (1, 1), body)
+
+
 def server_body(
     server_id="b1", service=SERVICE, domain="kelowna-a", slots=4, incarnation=1,
     address=None, phase=BackendPhase.SERVING, warm_up_ms=0,
@@ -265,6 +271,7 @@
         self.clock = OffsetClock()
         self.fleet = FakeFleet(name)
         self.store = self.fleet.store
+        self.meter = TrafficMeter("kelowna-a", self.store)
         self.table = RoutingTable(self.store)
         link = LinkQueue(self.clock, self.settings.link_mbps)
         self.paths = OwnPaths(self.clock, link)
@@ -276,7 +283,7 @@
             self.settings, self.clock, self.fleet, self.load, self.budget
         )
         self.connections = connections = ServerConnections(
-            settings, self.clock, self.load, link
+            settings, self.clock, self.load, link, self.meter
         )
         self.limits = ServerLimits(self.clock, self.fleet, self.load)
         self.notices = ServerNotices(
--- a/packages/cardamomrun-gateway/tests/test_lost_paths.py
+++ b/packages/cardamomrun-gateway/tests/test_lost_paths.py
@@ -6,6 +6,7 @@
 from dataclasses import replace
 
 import pytest
+from prometheus_client import REGISTRY
 
 from cardamomrun_base.clock import MS_PER_S
 from cardamomrun_base.routing_document import RouteKind, ServiceWeight
@@ -27,6 +28,7 @@
     gateway,
     gateway_settings,
     member,
+    member_record,
     no_report,
     not_run,
     relay_message,
@@ -246,6 +248,34 @@
     asyncio.run(main())
 
 
+def test_a_relayed_request_is_counted_once():
+    """Guards against detours between failure domains that show in no figure."""
+
+    def counted(kind):
+        labels = {"kind": kind, "failure_domain": "other"}
+        names = ("bytes", "messages")
+        return [
+            REGISTRY.get_sample_value(f"cardamomrun_traffic_{name}_total", labels) or 0
+            for name in names
+        ]
+
+    async def main():
+        async with pair() as running:
+            await lose_paths(running)
+            port = running.other.settings.front_port
+            running.cut_off.store.put(member_record("e2", "vernon-a", port))
+            sent, received = counted("relayed-request"), counted("relayed-response")
+            body = b"u" * 3_000
+            assert (await running.cut_off.call("POST", "/b/x", body)).status == 200
+            await until(lambda: counted("relayed-request") != sent)
+            byte_count, count = counted("relayed-request")
+            assert count - sent[1] == 1
+            assert len(body) < byte_count - sent[0] < len(body) + 1_000
+            assert counted("relayed-response")[0] > received[0]
+
+    asyncio.run(main())
+
+
 def test_a_service_that_is_down_does_not_look_like_lost_paths():
     """Guards against one dead service that makes instances refuse all others."""
     dead = ServiceWeight("dead", 1.0)
--- a/packages/cardamomrun-gateway/tests/test_server_registry.py
+++ b/packages/cardamomrun-gateway/tests/test_server_registry.py
@@ -6,6 +6,7 @@
 from cardamomrun_base.clock import ManualClock
 from cardamomrun_base.errors import UnavailableError
 from cardamomrun_base.model import BackendPhase, RecordKind
+from cardamomrun_fleet.traffic import TrafficMeter
 from cardamomrun_gateway.server_registry import (
     SILENT_MS,
     AnnouncementError,
@@ -45,7 +46,8 @@
         self.clock = ManualClock(5_000.0)
         self.fleet = FakeFleet("c1")
         self.control = FakeControl()
-        self.registry = ServerRegistry(self.clock, self.fleet, self.control)
+        meter = TrafficMeter("kelowna-a", self.fleet.store)
+        self.registry = ServerRegistry(self.clock, self.fleet, self.control, meter)
 
     def announce(self, **changes):
         asyncio.run(self.registry.announce(replace(ANNOUNCED, **changes)))
--- a/packages/cardamomrun-node/src/cardamomrun_node/gateway_node.py
+++ b/packages/cardamomrun-node/src/cardamomrun_node/gateway_node.py
@@ -89,7 +89,9 @@
         from cardamomrun_control.routing_service import RoutingControl
 
         self.control = RoutingControl(self._settings, self._clock, self.fleet)
-        self.registry = ServerRegistry(self._clock, self.fleet, self.control)
+        self.registry = ServerRegistry(
+            self._clock, self.fleet, self.control, self.fleet.meter
+        )
         DocumentAnswers(self.control.newest, self._reports)
 
     @property
@@ -152,7 +154,9 @@
 
     async def _start_entry(self, stack: AsyncExitStack) -> None:
         settings, clock, load = self._settings, self._clock, self._load
-        connections = ServerConnections(self._gateway, clock, load, self._link)
+        connections = ServerConnections(
+            self._gateway, clock, load, self._link, self.fleet.meter
+        )
         limits = ServerLimits(clock, self.fleet, load)
         attempt_tools = AttemptDependencies(
             clock,
--- a/packages/cardamomrun-requests/src/cardamomrun_requests/upstream.py
+++ b/packages/cardamomrun-requests/src/cardamomrun_requests/upstream.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 from dataclasses import dataclass
+from typing import Any
 
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 from tornado.httputil import (
@@ -170,7 +171,25 @@
 
 
 class PeekableStream(IOStream):
-    """A stream that can be checked for unread input without reading it."""
+    """A stream that can be checked for unread input without reading it.
+
+    Counts the bytes that went through its socket.
+    """
+
+    def __init__(self, *arguments: Any, **options: Any) -> None:
+        self.sent_bytes = 0
+        self.received_bytes = 0
+        super().__init__(*arguments, **options)
+
+    def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
+        byte_count = super().read_from_fd(buf)
+        self.received_bytes += byte_count or 0
+        return byte_count
+
+    def write_to_fd(self, data: memoryview) -> int:
+        byte_count = super().write_to_fd(data)
+        self.sent_bytes += byte_count
+        return byte_count
 
     def has_unread_input(self) -> bool:
         if self.closed() or self._read_buffer_size > 0:
@@ -269,6 +288,13 @@
         """Return True if an idle connection is open and has no unread input."""
         return not self._stream.has_unread_input()
 
+    def take_byte_counts(self) -> tuple[int, int]:
+        """Return the bytes sent and received since the last call."""
+        stream = self._stream
+        counts = stream.sent_bytes, stream.received_bytes
+        stream.sent_bytes = stream.received_bytes = 0
+        return counts
+
     def close(self) -> None:
         """Close the connection, which tells the server to cancel the request."""
         self._stream.close()
