Leave idle servers of other domains to their own instances at first

One in seven requests left its failure domain on loopback (36 entry instances, 36 servers with room), mostly since an idle server that nobody was seen to use for 1 s is preferred by all requests, and the bonus exceeds the cost of a remote server. Instances of other domains now apply it 1 s later, as they already do with trials of suspected servers.

Fewer overlay links between domains were ruled out: a member needs two observers to count as failed.

--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/placement.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/placement.py
@@ -42,6 +42,9 @@
 # its servers only, and those that it found slow once would stay idle.
 REFRESH_MS = 1_000.0
 REFRESH_BONUS_MS = 300.0
+# Instances of the server's own domain come first here too. Without this delay one in
+# seven requests left its domain in a fleet of 36 instances whose servers had room.
+REMOTE_REFRESH_DELAY_MS = 1_000.0
 # Half-life of what the mean response time of a server says about the next response.
 MEAN_HALF_LIFE_MS = 1_400.0
 # A service without idempotent requests gets its trials from other requests, which are
@@ -388,7 +391,7 @@
         stale_ms = min(STALE_LIMIT_MS, unseen_ms)
         if criteria.is_retryable:
             cost_ms -= stale_ms * STALE_BONUS_RATIO
-        elif REFRESH_MS <= unseen_ms < float("inf") and server.in_flight_count == 0:
+        elif self._is_refresh_due(server, unseen_ms):
             cost_ms -= REFRESH_BONUS_MS
         else:
             cost_ms += stale_ms * STALE_COST_RATIO
@@ -397,6 +400,12 @@
             cost_ms += REMOTE_COST_MS + size_kb * REMOTE_COST_MS_PER_KB
         return cost_ms
 
+    def _is_refresh_due(self, server: Server, unseen_ms: float) -> bool:
+        due_ms = REFRESH_MS
+        if server.body.failure_domain != self._failure_domain:
+            due_ms += REMOTE_REFRESH_DELAY_MS
+        return server.in_flight_count == 0 and due_ms <= unseen_ms < float("inf")
+
 
 def _may_ask(server: Server, criteria: PlacementCriteria, now_ms: float) -> bool:
     return server.limit is None or server.limit.may_ask(
--- a/packages/cardamomrun-gateway/tests/test_placement.py
+++ b/packages/cardamomrun-gateway/tests/test_placement.py
@@ -5,7 +5,12 @@
 
 from cardamomrun_base.clock import ManualClock
 from cardamomrun_gateway.fleet_load import FleetLoad
-from cardamomrun_gateway.placement import ChoiceReason, Placement
+from cardamomrun_gateway.placement import (
+    REFRESH_MS,
+    REMOTE_REFRESH_DELAY_MS,
+    ChoiceReason,
+    Placement,
+)
 from cardamomrun_gateway.server_health import AttemptEnd
 
 from .builders import FakeStore, criteria, server_body, server_record
@@ -121,6 +126,28 @@
     assert fixture.choose(is_retryable=False) == ("b2", ChoiceReason.BEST)
 
 
+@pytest.mark.parametrize(
+    ("idle_ms", "expected"),
+    [
+        (REFRESH_MS, "b1"),
+        (REFRESH_MS + REMOTE_REFRESH_DELAY_MS - 1, "b1"),
+        (REFRESH_MS + REMOTE_REFRESH_DELAY_MS, "b2"),
+    ],
+)
+def test_idle_servers_of_other_domains_are_left_to_their_instances_at_first(
+    idle_ms, expected
+):
+    """Guards against requests that leave their domain although it has room."""
+    fixture = PlacementFixture(server_body("b1"), server_body("b2", domain="vernon-a"))
+    fixture.mark_accepted("b2")
+    fixture.clock.advance_ms(idle_ms)
+    fixture.mark_accepted("b1")
+    # Its own slots are in use in part, so the idle server would cost less.
+    fixture.fill("b1", 3)
+    chosen = fixture.choose(is_idempotent=False, is_retryable=False, expected_ms=2_000)
+    assert chosen == (expected, ChoiceReason.BEST)
+
+
 @pytest.mark.parametrize(
     ("in_flight", "expected"),
     [
