Measure traffic of idempotent requests too

Requests that may be retried choose servers by another rule, so the share that leaves the failure domain has to be known for both.

--- a/tests/soak/traffic.py
+++ b/tests/soak/traffic.py
@@ -60,6 +60,7 @@
     announce_s: float = 1.5
     link_mbps: float = 1.4
     duration_s: float = 20.0
+    route_type: str = "unsafe"
 
 
 class _Instances:
@@ -162,8 +163,9 @@
 
     async def _put_document(self) -> None:
         route = route_fields(
-            host=HOST, path_prefix="/a/", timeout_ms=4_000, slo_latency_ms=2_000
-        )
+            host=HOST, path_prefix="/a/", timeout_ms=4_000, slo_latency_ms=2_000,
+            route_type=self._options.route_type,
+        )  # fmt: skip
         url = f"http://{self._control[0]}/v1/rpc?call=config.put"
         body = manifest("00000007", routes=[route])
         while await _fetch(HTTPRequest(url, "POST", body=body)) is None:
@@ -258,9 +260,9 @@
         await _Run(options, Path(folder)).run()
 
 
-def main(**sizes: float) -> None:
+def main(**options: float | str) -> None:
     """Measure one fleet."""
-    asyncio.run(measure(TrafficOptions(**sizes)))  # type: ignore[arg-type]
+    asyncio.run(measure(TrafficOptions(**options)))  # type: ignore[arg-type]
 
 
 if __name__ == "__main__":
