--- a/packages/cardamomrun-fleet/src/cardamomrun_fleet/traffic.py
+++ b/packages/cardamomrun-fleet/src/cardamomrun_fleet/traffic.py
@@ -51,6 +51,7 @@
     RELAY_MESSAGE = "relay-message"
     SERVER_NOTICE = "server-notice"
     PERMIT = "permit"
+    QUOTA = "quota"
     DOCUMENT = "document"
     PING = "ping"
     FLOOD = "flood"
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/datagram_kinds.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/datagram_kinds.py
@@ -20,6 +20,8 @@
     b"\x0c": MessageKind.SERVER_NOTICE,
     b"\x0d": MessageKind.DOCUMENT,
     b"\x0e": MessageKind.DOCUMENT,
+    b"\x0f": MessageKind.QUOTA,
+    b"\x10": MessageKind.QUOTA,
 }
 
 
