Queue downloads in their own failure domain while that costs less than crossing

Load: downloads of 90 kB, two slots a server, a domain whose slots are taken for a moment. A free server of another domain was always preferred to a queue, whatever the response weighs on the bandwidth between domains.

The expected length of a download counts as the body of an upload does, and a local server's queue is preferred if it costs less. Other routes are placed as before.

--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/dispatch.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/dispatch.py
@@ -488,6 +488,9 @@
             service=self._service,
             is_idempotent=routed.is_idempotent,
             body_bytes=self._request.body.length or 0,
+            download_bytes=self._tools.attempt_tools.route_times.download_bytes(
+                routed.route
+            ),
             rank=routed.rank,
             expected_ms=self._tools.attempt_tools.route_times.expected_ms(routed.route),
             is_retryable=self._has_retry_left(routed),
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/placement.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/placement.py
@@ -18,7 +18,7 @@
 # A server that warms up takes about twice the expected time.
 WARM_UP_FACTOR = 2.0
 # Bandwidth between failure domains is scarce: using a server of another domain counts
-# as this much added latency, plus a part that grows with the request body.
+# as this much added latency, plus a part that grows with uploads and downloads.
 REMOTE_COST_MS = 150.0
 REMOTE_COST_MS_PER_KB = 60.0
 # Servers of another domain get trials from its own instances; others wait this much
@@ -78,7 +78,8 @@
     `is_retryable`: another attempt may follow if this one fails. `may_be_trial`: the
     request may go to a suspected server. `has_idempotent_traffic`: idempotent requests
     reach the service too. `excluded` servers are not chosen. `max_wait_ms`: how long it
-    may wait for a permit of a server that states a limit.
+    may wait for a permit of a server that states a limit. `download_bytes`: the expected
+    length of a large response, else 0.
     """
 
     service: str
@@ -91,6 +92,7 @@
     has_idempotent_traffic: bool
     excluded: frozenset[ServerId] = frozenset()
     max_wait_ms: float = 0.0
+    download_bytes: float = 0.0
 
     @property
     def is_urgent(self) -> bool:
@@ -158,21 +160,17 @@
         unlimited = [s for s in free if s.limit is None or s.limit.is_granted_here]
         if unlimited:
             accepting = [s for s in unlimited if not self._is_shedding(s, now_ms)]
-            return Choice(
-                self._cheapest(accepting or unlimited, criteria, now_ms),
-                ChoiceReason.BEST,
-            )
+            best = self._cheapest(accepting or unlimited, criteria, now_ms)
+            queue = self._local_queue(best, trusted, criteria, now_ms)
+            if queue is not None:
+                return Choice(queue, ChoiceReason.QUEUED)
+            return Choice(best, ChoiceReason.BEST)
         if free:
             return Choice(self._cheapest(free, criteria, now_ms), ChoiceReason.LIMITED)
         trial_when_full = self._trial_when_full(servers, criteria, now_ms)
         if trial_when_full is not None:
             return Choice(trial_when_full, ChoiceReason.TRIAL)
-        ratio = QUEUE_RATIOS[max(0, min(criteria.rank, len(QUEUE_RATIOS) - 1))]
-        with_room = [
-            s
-            for s in trusted
-            if s.in_flight_count < s.body.slots * (1 + ratio) and s.limit is None
-        ]
+        with_room = _servers_with_queue_room(trusted, criteria)
         if with_room:
             return Choice(
                 self._cheapest(with_room, criteria, now_ms), ChoiceReason.QUEUED
@@ -185,6 +183,36 @@
             )
         return None
 
+    def _local_queue(
+        self,
+        best: Server,
+        trusted: list[Server],
+        criteria: PlacementCriteria,
+        now_ms: float,
+    ) -> Server | None:
+        """Return a server of the own domain whose queue costs less than `best`, if any.
+
+        Only for downloads: a slot gets free in the own domain long before the bandwidth
+        between domains would have paid for a free one elsewhere.
+        """
+        if (
+            not criteria.download_bytes
+            or best.body.failure_domain == self._failure_domain
+        ):
+            return None
+        local = [
+            server
+            for server in _servers_with_queue_room(trusted, criteria)
+            if server.body.failure_domain == self._failure_domain
+        ]
+        if not local:
+            return None
+        queue = self._cheapest(local, criteria, now_ms)
+        is_cheaper = self._cost_ms(queue, criteria, now_ms) < self._cost_ms(
+            best, criteria, now_ms
+        )
+        return queue if is_cheaper else None
+
     def _without_avoided(self, servers: list[Server], now_ms: float) -> list[Server]:
         """Leave out servers that leave or pause by the word of others.
 
@@ -400,7 +428,7 @@
         else:
             cost_ms += stale_ms * STALE_COST_RATIO
         if server.body.failure_domain != self._failure_domain:
-            size_kb = criteria.body_bytes / BYTES_PER_KB
+            size_kb = (criteria.body_bytes + criteria.download_bytes) / BYTES_PER_KB
             cost_ms += REMOTE_COST_MS + size_kb * REMOTE_COST_MS_PER_KB
         return cost_ms
 
@@ -411,6 +439,19 @@
         return server.in_flight_count == 0 and due_ms <= unseen_ms < float("inf")
 
 
+def _servers_with_queue_room(
+    servers: list[Server], criteria: PlacementCriteria
+) -> list[Server]:
+    """Return the servers that may queue a request of this rank, full or not."""
+    ratio = QUEUE_RATIOS[max(0, min(criteria.rank, len(QUEUE_RATIOS) - 1))]
+    return [
+        server
+        for server in servers
+        if server.in_flight_count < server.body.slots * (1 + ratio)
+        and server.limit is None
+    ]
+
+
 def _may_ask(server: Server, criteria: PlacementCriteria, now_ms: float) -> bool:
     return server.limit is None or server.limit.may_ask(
         now_ms, criteria.max_wait_ms, is_urgent=criteria.is_urgent
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/routed_request.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/routed_request.py
@@ -23,13 +23,16 @@
 # Response times vary by a factor of about two; at this multiple of the mean an attempt
 # is overdue.
 OVERDUE_FACTOR = 3.0
+# Assumed length of a download until its route has had responses.
+FIRST_DOWNLOAD_BYTES = 65_536
 
 
 class RouteTimes:
-    """Running means of the response times of routes, in ms."""
+    """Running means of the response times of routes, in ms, and of download lengths."""
 
     def __init__(self) -> None:
         self._means_ms: dict[str, float] = {}
+        self._mean_bytes: dict[str, float] = {}
 
     def expected_ms(self, route: RoutingRoute) -> float:
         """Return the mean response time of a route; an assumed one before the first."""
@@ -53,6 +56,19 @@
         mean_ms += MEAN_WEIGHT * (duration_ms - mean_ms)
         self._means_ms[route.name] = mean_ms
 
+    def download_bytes(self, route: RoutingRoute) -> float:
+        """Return the mean length of a download's responses; 0 for other routes."""
+        if not route.is_download:
+            return 0.0
+        return self._mean_bytes.get(route.name, FIRST_DOWNLOAD_BYTES)
+
+    def record_bytes(self, route: RoutingRoute, length_bytes: int) -> None:
+        """Add the length of a response to the mean, if the route is a download."""
+        if route.is_download:
+            mean_bytes = self.download_bytes(route)
+            mean_bytes += MEAN_WEIGHT * (length_bytes - mean_bytes)
+            self._mean_bytes[route.name] = mean_bytes
+
 
 @dataclass(frozen=True)
 class RoutedRequest:
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_attempt.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/server_attempt.py
@@ -354,6 +354,10 @@
         self._tools.route_times.record(
             self._routed.route, duration_ms, self._link_wait_ms
         )
+        if response.body_rest is None:
+            self._tools.route_times.record_bytes(
+                self._routed.route, len(response.body_start)
+            )
         return response
 
 
--- a/packages/cardamomrun-gateway/tests/test_placement.py
+++ b/packages/cardamomrun-gateway/tests/test_placement.py
@@ -54,6 +54,17 @@
         return choice and (choice.server.body.server_id, choice.reason)
 
 
+def test_a_download_waits_in_its_domain_rather_than_cross_to_another_one():
+    """Guards against large responses between domains while a slot is about to be free."""
+    fixture = PlacementFixture(server_body("b1", domain="vernon-a"), server_body("b2"))
+    fixture.fill("b2", 4)
+    assert fixture.choose() == ("b1", ChoiceReason.BEST)
+    download = {"download_bytes": 90_000.0}
+    assert fixture.choose(**download) == ("b2", ChoiceReason.QUEUED)
+    fixture.fill("b2", 2)
+    assert fixture.choose(**download) == ("b1", ChoiceReason.BEST)
+
+
 def test_the_own_failure_domain_comes_first_while_it_has_room():
     fixture = PlacementFixture(server_body("b1", domain="vernon-a"), server_body("b2"))
     assert fixture.choose() == ("b2", ChoiceReason.BEST)
