Count questions to the leader only once all instances have published

An instance that has started asks the leader on its own until it has published the first document (RoutingControl._has_newest); on a busy machine that question of c3 came after the counter was installed. Ruled out: two questions of one instance.

The test waits until every instance has published the document, and still demands one question.

--- a/packages/cardamomrun-control/tests/test_routing_service.py
+++ b/packages/cardamomrun-control/tests/test_routing_service.py
@@ -353,6 +353,11 @@
     async with RoutingCluster(tmp_path, **FAST_SETTINGS) as cluster:
         leader = await cluster.wait_for_leader()
         await retry(lambda: leader.control.put(routing(3), "op"))
+        # Each instance asks on its own until it has published the first document.
+        stores = [instance.fleet.store for instance in cluster.running()]
+        await until(lambda: all(s.get(RecordKind.ROUTING, ROUTING_KEY) for s in stores))
+        # The answer to that question counts for a while.
+        await asyncio.sleep(2 * SHARED_MS / 1_000)
         asked = []
         answer = leader.fleet.handlers[NewestNumberRequest]
 
--- a/tests/adapter/test_settings_reload.py
+++ b/tests/adapter/test_settings_reload.py
@@ -39,6 +39,7 @@
             fleet=SimpleNamespace(use_seeds=used.append),
             _budget=RetryBudget(GatewaySettings(), ManualClock()),
             _hedging=Hedging(GatewaySettings(), RouteTimes()),
+            _quotas=None,
             _settings=node_settings(path),
         )
         changed = node_settings(path, seeds=["10.9.9.9:8146"])
@@ -100,6 +101,7 @@
         fleet=SimpleNamespace(use_seeds=lambda seeds: None),
         _budget=RetryBudget(GatewaySettings(), ManualClock()),
         _hedging=Hedging(GatewaySettings(), RouteTimes()),
+        _quotas=None,
         _settings=old,
         _gateway=old.gateway,
     )
