--- a/tests/adapter/processes.py
+++ b/tests/adapter/processes.py
@@ -38,7 +38,8 @@
             listen = {"front": f"{ip}:{FRONT_PORT}", "ready": f"{ip}:{READY_PORT}"}
             self.start(ip, ["edge"], listen, None)
 
-    def start(self, ip, serves, listen, data_dir):
+    def start(self, ip, serves, listen, data_dir, **changes):
+        """Start a machine; `changes` replace fields of its settings."""
         self._starts[ip] = (serves, listen, data_dir)
         fields = settings_fields(
             node_name=ip,
@@ -48,6 +49,7 @@
             data_dir=data_dir,
             internal_ports=[PEER_PORT, PEER_PORT + 9],
             seeds=[f"{host}:{CONTROL_PORT}" for host in self.control],
+            **changes,
         )
         path = self.folder / f"{ip}.json"
         path.write_text(settings_text(fields))
