Bound what clients and callers use of a process

60 clients whose bodies stop one byte short made an instance of 200 MB exceed its memory, and clients with one-byte chunks kept it from serving, since each connection was bounded alone and tornado parses each chunk with several reads.

One account for each process (client_memory.py) charges connections, heads, bodies and responses on all HTTP listeners. It closes stalled clients, refuses new bodies with 503 (not run), and limits connections by memory and descriptors. Heads have a time limit from their first byte, and bodies a least rate that counts only the time in which the instance reads. Chunks are decoded in bulk; connections with many small parts share a fifth of the time. Ruled out: limits for each listener, and the resident memory as the measure, which does not fall after fragmentation.

Closing responses linger: the connection ends its sending side, then discards what comes for at most 1 s and 16 MiB. A disconnect behind buffered requests is noticed by polling for POLLRDHUP.

--- a/packages/cardamomrun-base/src/cardamomrun_base/settings.py
+++ b/packages/cardamomrun-base/src/cardamomrun_base/settings.py
@@ -18,6 +18,7 @@
 from cardamomrun_base.model import DEFAULT_LINK_MBPS
 
 __all__ = [
+    "ClientSettings",
     "ControlSettings",
     "FleetSettings",
     "NodeSettings",
@@ -118,6 +119,26 @@
     connection_idle_ms: Annotated[int, Field(ge=100, le=600_000)] = 4_000
 
 
+@dataclass(frozen=True)
+class ClientSettings:
+    """Bounds for what clients and callers may use of a process.
+
+    The memory for them is `memory_ratio` of what `process_mb` leaves of the machine's.
+    They may use `descriptor_ratio` of its descriptors.
+    """
+
+    __pydantic_config__ = STRICT
+
+    process_mb: Annotated[float, Field(ge=1, le=1_000_000)] = 64.0
+    memory_ratio: Annotated[float, Field(gt=0, le=1)] = 0.5
+    descriptor_ratio: Annotated[float, Field(gt=0, le=1)] = 0.6
+    # Routing documents state their own.
+    head_timeout_ms: Annotated[int, Field(ge=100, le=600_000)] = 10_000
+    min_body_bytes_per_s: Annotated[int, Field(ge=0, le=1_000_000)] = 500
+    body_rate_ms: Annotated[int, Field(ge=1_000, le=600_000)] = 5_000
+    response_stall_ms: Annotated[int, Field(ge=1_000, le=600_000)] = 30_000
+
+
 @dataclass(frozen=True)
 class NodeSettings:
     """All settings of one node."""
@@ -151,6 +172,11 @@
     advertised_peer_address: PeerAddress | None = None
     link_mbps: Annotated[float, Field(ge=0.1, le=100_000)] = DEFAULT_LINK_MBPS
     gateway: GatewaySettings | None = None
+    # What the machine has for this process; None: as much as it needs, and the limit of
+    # the operating system.
+    memory_mb: Annotated[float, Field(ge=16, le=100_000_000)] | None = None
+    max_fds: Annotated[int, Field(ge=64, le=100_000_000)] | None = None
+    clients: ClientSettings = ClientSettings()
 
     @property
     def front_address(self) -> str:
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/dispatch.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/dispatch.py
@@ -47,7 +47,13 @@
 from cardamomrun_requests.background import BackgroundTasks
 from cardamomrun_requests.body_channel import IncompleteBodyError
 from cardamomrun_requests.reply import ResponseWriter
-from cardamomrun_requests.request import BodyTooLargeError, ClientRequest
+from cardamomrun_requests.request import (
+    MEMORY_KIND,
+    MEMORY_REASON,
+    BodyTooLargeError,
+    ClientRequest,
+    NoBodyMemoryError,
+)
 
 __all__ = ["DispatchDependencies", "RequestDispatch"]
 
@@ -170,6 +176,9 @@
         except TimeoutError:
             self._check_unfinished()
             await self._send_error(self._timeout_error())
+        except NoBodyMemoryError:
+            metrics.REFUSALS.labels(self._service, MEMORY_KIND).inc()
+            await self._send_error(refusal(MEMORY_KIND, MEMORY_REASON, RETRY_SOON_S))
         except BodyTooLargeError:
             outcome = NotRun(
                 "The body is larger than the document allows.",
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/front.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/front.py
@@ -14,13 +14,14 @@
 from cardamomrun_gateway.dispatch import DispatchDependencies, RequestDispatch
 from cardamomrun_gateway.server_connections import ServerConnections
 from cardamomrun_requests.client_listener import ClientListener
+from cardamomrun_requests.client_memory import ClientMemory
 from cardamomrun_requests.reply import ResponseWriter
 from cardamomrun_requests.request import ClientRequest
 
 __all__ = ["GatewayFront"]
 
 # Bodies up to this size are buffered, so that they can be sent to another server if the
-# first one did not run the request. 60 uploads at once need 60 MB.
+# first one did not run the request. `ClientMemory` bounds what they hold together.
 MAX_BUFFERED_BODY_BYTES = 1_048_576
 # Documents state shorter timeouts; this one only frees connections that clients left.
 IDLE_S = 120.0
@@ -46,6 +47,7 @@
         header_names: GatewayHeaders,
         tools: DispatchDependencies,
         connections: ServerConnections,
+        memory: ClientMemory | None = None,
     ) -> None:
         self._settings = settings
         self._gateway = settings.gateway or GatewaySettings()
@@ -53,10 +55,20 @@
         self._header_names = header_names
         self._tools = tools
         self._connections = connections
-        self._listener = ClientListener(settings, self, idle_s=IDLE_S)
+        self._listener = ClientListener(
+            settings, self, memory or ClientMemory(settings, clock), idle_s=IDLE_S
+        )
         self._requests = tools.background
         self._loops: list[asyncio.Task[None]] = []
 
+    @property
+    def head_timeout_ms(self) -> float:
+        """How long the head of a request may take to arrive."""
+        document = self._tools.table.document
+        if document is None:
+            return self._settings.clients.head_timeout_ms
+        return document.limits.head_timeout_ms
+
     @property
     def draining(self) -> bool:
         """True once this instance was asked to stop."""
--- a/packages/cardamomrun-node/src/cardamomrun_node/admin.py
+++ b/packages/cardamomrun-node/src/cardamomrun_node/admin.py
@@ -4,12 +4,13 @@
 from typing import Any
 
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
-from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
 
 from cardamomrun_base.errors import AddressInUseError
 from cardamomrun_base.interfaces import Backends, Environment, Environments, Fleet
 from cardamomrun_base.settings import NodeSettings
+from cardamomrun_requests.call_server import open_call_server
+from cardamomrun_requests.client_memory import ClientMemory
 
 __all__ = ["AdminListener"]
 
@@ -20,15 +21,18 @@
 class AdminListener:
     """Serves the admin address with the routes that the parts contribute."""
 
-    def __init__(self, settings: NodeSettings, routes: list[Any]) -> None:
+    def __init__(
+        self, settings: NodeSettings, routes: list[Any], memory: ClientMemory
+    ) -> None:
         self._settings = settings
-        self._server = HTTPServer(
+        self._server = open_call_server(
             Application(
                 routes,
                 default_handler_class=UnknownPathHandler,
                 log_function=_discard_access_log,
             ),
-            max_body_size=MAX_BODY_BYTES,
+            memory,
+            MAX_BODY_BYTES,
         )
 
     def start(self) -> None:
--- a/packages/cardamomrun-node/src/cardamomrun_node/gateway_node.py
+++ b/packages/cardamomrun-node/src/cardamomrun_node/gateway_node.py
@@ -35,6 +35,7 @@
 from cardamomrun_node.parts import PartLoop, cancel_task, run_with_restarts
 from cardamomrun_node.settings_watch import fields_needing_restart
 from cardamomrun_requests.background import BackgroundTasks
+from cardamomrun_requests.client_memory import ClientMemory
 
 if TYPE_CHECKING:
     from cardamomrun_control.routing_service import RoutingControl
@@ -77,6 +78,7 @@
         self._reports = LoadReports(
             settings, clock, self.fleet, self._load, self._budget
         )
+        self.client_memory = ClientMemory(settings, clock)
         self._shutdown = Shutdown(clock, self._gateway.grace_ms)
         self._front: GatewayFront | None = None
         self._stack = AsyncExitStack()
@@ -190,7 +192,9 @@
             RequestAdmission(attempt_tools, self.table, lambda: documents.is_current),
             Refusals(attempt_tools, load, placement),
         )
-        self._front = GatewayFront(settings, clock, self._headers, tools, connections)
+        self._front = GatewayFront(
+            settings, clock, self._headers, tools, connections, self.client_memory
+        )
         await self._front.start()
         stack.push_async_callback(self._front.stop)
 
--- a/packages/cardamomrun-node/src/cardamomrun_node/node.py
+++ b/packages/cardamomrun-node/src/cardamomrun_node/node.py
@@ -22,6 +22,7 @@
 from cardamomrun_node.in_force import InForceHandler
 from cardamomrun_node.parts import PartLoop, cancel_task, run_with_restarts
 from cardamomrun_requests.claims import QuorumClaims
+from cardamomrun_requests.client_memory import ClientMemory
 from cardamomrun_requests.front_proxy import FrontProxy
 from cardamomrun_requests.keeper import Keeper
 from cardamomrun_requests.quarantine import CrashQuarantine
@@ -44,6 +45,7 @@
         self.fleet = Fleet(settings, clock)
         self.environments = LiveEnvironments(self.fleet.store)
         self.backends = LiveBackends(settings, clock, self.fleet, self.environments)
+        self._client_memory = ClientMemory(settings, clock)
         self._routes = self._common_routes()
         self._stack = AsyncExitStack()
 
@@ -71,7 +73,7 @@
             await self._start_control(control, stack)
         if keeper is not None:
             await self._start_entry(keeper, stack)
-        admin = AdminListener(self._settings, self._routes)
+        admin = AdminListener(self._settings, self._routes, self._client_memory)
         admin.start()
         stack.push_async_callback(admin.stop)
 
@@ -121,6 +123,7 @@
             claims,
             CrashQuarantine(settings, clock, fleet, self.backends),
             Directory(settings, clock, fleet),
+            self._client_memory,
         )
         assert settings.announcement_tokens_file is not None
         tokens = AnnouncementTokens(settings.announcement_tokens_file)
--- a/packages/cardamomrun-requests/src/cardamomrun_requests/client_listener.py
+++ b/packages/cardamomrun-requests/src/cardamomrun_requests/client_listener.py
@@ -1,16 +1,14 @@
 """The HTTP listener for clients: one task for each request."""
 
 import asyncio
-import contextlib
 import errno
 import json
 import socket
 import weakref
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Protocol
 
 from tornado.http1connection import HTTP1Connection
-from tornado.httpserver import HTTPServer
 from tornado.httputil import (
     HTTPConnection,
     HTTPHeaders,
@@ -20,7 +18,7 @@
     RequestStartLine,
     ResponseStartLine,
 )
-from tornado.iostream import IOStream, StreamClosedError
+from tornado.iostream import StreamClosedError
 
 from cardamomrun_base import headers as names
 from cardamomrun_base.errors import AddressInUseError
@@ -28,21 +26,33 @@
 from cardamomrun_base.settings import NodeSettings
 from cardamomrun_requests.background import BackgroundTasks
 from cardamomrun_requests.body_channel import BodyChannel
+from cardamomrun_requests.client_connection import (
+    ClientConnection,
+    ClientServer,
+    ClientStream,
+)
+from cardamomrun_requests.client_memory import ClientMemory, ConnectionAccount, Phase
 from cardamomrun_requests.framing import body_length
 from cardamomrun_requests.reply import ResponseWriter
-from cardamomrun_requests.request import ClientRequest, RequestBody, request_id_or_new
+from cardamomrun_requests.request import (
+    MEMORY_KIND,
+    MEMORY_REASON,
+    MEMORY_REMEDY,
+    ClientRequest,
+    RequestBody,
+    request_id_or_new,
+)
 from cardamomrun_requests.upstream import UNBOUNDED_BYTES
 
 __all__ = ["ClientRequestHandler", "ClientListener"]
 
 BACKLOG_COUNT = 1_024
-CHUNK_BYTES = 65_536
 MAX_HEAD_BYTES = 65_536
-# Limits the unread request data that is buffered for one connection.
-MAX_BUFFER_BYTES = 262_144
 TORNADO_ERROR_RESPONSE = b"HTTP/1.1 400 Bad Request\r\n\r\n"
 # During a stop, the time for slow clients to read the ends of their responses.
 FLUSH_TIMEOUT_S = 5.0
+# Retry-After of a body that there was no memory for: stalled clients lose theirs by then.
+RETRY_AFTER_S = 1
 
 
 class ClientRequestHandler(Protocol):
@@ -50,6 +60,10 @@
 
     body_buffer_bytes: int
 
+    @property
+    def head_timeout_ms(self) -> float:
+        """How long the head of a request may take to arrive."""
+
     @property
     def draining(self) -> bool:
         """True once the instance leaves, so that responses end connections."""
@@ -75,15 +89,20 @@
     """The front listener of an instance; hands each request to a `ClientRequestHandler`."""
 
     def __init__(
-        self, settings: NodeSettings, handler: ClientRequestHandler, *, idle_s: float
+        self,
+        settings: NodeSettings,
+        handler: ClientRequestHandler,
+        memory: ClientMemory,
+        *,
+        idle_s: float,
     ) -> None:
         self._settings = settings
         self._connections = _ClientConnections(handler)
-        self._server = _DrainableServer(
+        self._server = _FrontServer(
             self._connections,
-            chunk_size=CHUNK_BYTES,
+            memory=memory,
+            head_timeout_ms=lambda: handler.head_timeout_ms,
             max_header_size=MAX_HEAD_BYTES,
-            max_buffer_size=MAX_BUFFER_BYTES,
             idle_connection_timeout=idle_s,
         )
 
@@ -121,58 +140,29 @@
             await self._server.wait_closed(FLUSH_TIMEOUT_S)
 
 
-class _DrainableServer(HTTPServer):
-    """tornado's server, extended to wait until all its connections are closed."""
+class _FrontServer(ClientServer):
+    """Serves clients; closes connections after requests as `_ClientConnections` says."""
 
-    def initialize(self, *args: Any, **kwargs: Any) -> None:
-        super().initialize(*args, **kwargs)
-        self._open_count = 0
-        self._changed = asyncio.Event()
+    request_callback: "_ClientConnections"
 
-    def handle_stream(self, stream: IOStream, address: tuple) -> None:
-        self._open_count += 1
-        # Its socket can be reused since the stream has not registered with the loop yet.
-        client_stream = _ClientStream(
-            stream.socket, MAX_BUFFER_BYTES, read_chunk_size=CHUNK_BYTES
-        )
-        super().handle_stream(client_stream, address)
-
-    def on_close(self, server_conn: object) -> None:
-        super().on_close(server_conn)
-        self._open_count -= 1
-        self._changed.set()
+    def must_close(self, server_conn: object) -> bool:
+        return self.request_callback.must_close(server_conn)
 
-    async def wait_closed(self, limit_s: float) -> None:
-        """Wait until no connection is open, at most `limit_s`."""
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(limit_s):
-                while self._open_count:
-                    self._changed.clear()
-                    await self._changed.wait()
+    def create_stream(self, connection: socket.socket) -> ClientStream:
+        return _FrontStream(connection)
 
 
-class _ClientStream(IOStream):
+class _FrontStream(ClientStream):
     """Replaces tornado's own response to malformed requests.
 
     That response has no outcome header. During a request it could also follow a part
     of another response, and the client would take it for the rest of that one.
     """
 
-    def __init__(self, *args: Any, **kwargs: Any) -> None:
-        super().__init__(*args, **kwargs)
+    def __init__(self, connection: socket.socket) -> None:
+        super().__init__(connection)
         self.in_request = False
 
-    def has_unread(self) -> bool:
-        """Return True if unread bytes are in the buffer or the socket."""
-        if self.closed():
-            return False
-        if self._read_buffer_size > 0:
-            return True
-        try:
-            return bool(self.socket.recv(1, socket.MSG_PEEK))
-        except OSError:
-            return False
-
     def write(self, data: bytes | memoryview) -> asyncio.Future[None]:
         if data == TORNADO_ERROR_RESPONSE:
             if self.in_request:
@@ -214,12 +204,16 @@
         assert isinstance(request_conn, HTTP1Connection)
         message = _IncomingRequest(self._handler, self, server_conn, request_conn)
         message.mark_in_request(False)
-        if self._closed or server_conn in self._closing:
+        if self.must_close(server_conn):
             request_conn.close()
         else:
             self._idle.add(message)
         return message
 
+    def must_close(self, server_conn: object) -> bool:
+        """Return True if a connection has to be closed after its present request."""
+        return self._closed or server_conn in self._closing
+
     def mark_busy(self, message: "_IncomingRequest") -> None:
         """Mark a connection as busy: a request head arrived."""
         self._idle.discard(message)
@@ -255,6 +249,8 @@
         self._server_conn = server_conn
         self._channel = BodyChannel()
         self._task: asyncio.Task[None] | None = None
+        self._account: ConnectionAccount | None = None
+        self._is_body_awaited = False
 
     async def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
@@ -274,13 +270,24 @@
                 length = 0
         except HTTPInputError as error:
             framing_error = str(error)
+        stream = self.connection.stream
+        assert isinstance(stream, _FrontStream) and stream.account is not None
+        account = self._account = stream.account
+        # A short body mostly arrives with its head, and is not measured then.
+        self._is_body_awaited = length is None or length > stream.buffered_bytes
+        if self._is_body_awaited:
+            account.begin_body()
+        else:
+            account.enter(Phase.WORK)
         context = self.connection.context
         request = ClientRequest(
             method=start_line.method,
             target=start_line.path,
             version=start_line.version,
             headers=headers,
-            body=RequestBody(self._channel, length, self._handler.body_buffer_bytes),
+            body=RequestBody(
+                self._channel, length, self._handler.body_buffer_bytes, account
+            ),
             remote_ip=getattr(context, "remote_ip", ""),
             request_id=self._handler.request_id(headers),
         )
@@ -295,24 +302,45 @@
         # The route limits the body; tornado's own response would lack an outcome.
         self.connection.set_max_body_size(UNBOUNDED_BYTES)
         self.connection.set_close_callback(self._cancel_request)
+        assert isinstance(self.connection, ClientConnection)
+        has_memory = account.may_parse(self.connection.field_count)
+        if not has_memory or (length != 0 and not account.admits_body(length)):
+            await self._refuse_for_memory(request, reply, account)
+            return
         self._task = self._handler.start_request(request, reply)
+        await self.connection.pay_for_fields()
 
     def has_unread(self) -> bool:
         """Return True if bytes of the next request have arrived."""
         stream = self.connection.stream
-        return isinstance(stream, _ClientStream) and stream.has_unread()
+        return isinstance(stream, ClientStream) and stream.has_unread()
 
     def mark_in_request(self, in_request: bool) -> None:
         """Record whether a request head arrived whose response is unfinished."""
         stream = self.connection.stream
-        if isinstance(stream, _ClientStream):
+        if isinstance(stream, _FrontStream):
             stream.in_request = in_request
 
     async def data_received(self, chunk: bytes) -> None:
+        account = self._account
+        if account is None:
+            return
+        if not self._is_body_awaited:
+            await self._channel.put(chunk)
+            return
+        account.count_body(len(chunk))
+        # While the chunk waits for a slow server, the client isn't to blame.
+        account.enter(Phase.WORK)
         await self._channel.put(chunk)
+        account.enter(Phase.BODY)
 
     def finish(self) -> None:
         self._channel.end(complete=True)
+        if self._account is not None and self._is_body_awaited:
+            self._account.enter(Phase.WORK)
+        stream = self.connection.stream
+        if isinstance(stream, ClientStream) and stream.buffered_bytes:
+            stream.on_pipelined()
 
     def on_connection_close(self) -> None:
         self._channel.end(complete=False)
@@ -338,3 +366,16 @@
         self._channel.end(complete=False)
         self.connection.finish()
         self.connection.close()
+
+    async def _refuse_for_memory(
+        self,
+        request: ClientRequest,
+        reply: ResponseWriter,
+        account: ConnectionAccount,
+    ) -> None:
+        """Refuse a request whose body or head there is no memory for."""
+        account.refuse()
+        outcome = NotRun(MEMORY_REASON, MEMORY_REMEDY, 503, RETRY_AFTER_S)
+        request.body.discard()
+        await reply.send_error(outcome, MEMORY_KIND)
+        await reply.finish()
--- a/packages/cardamomrun-requests/src/cardamomrun_requests/exchange.py
+++ b/packages/cardamomrun-requests/src/cardamomrun_requests/exchange.py
@@ -23,7 +23,15 @@
 from cardamomrun_requests.ended import RequestError, RunState
 from cardamomrun_requests.key_claim import KeyClaim
 from cardamomrun_requests.reply import ResponseWriter
-from cardamomrun_requests.request import BodyTooLargeError, ClientRequest, hash_parts
+from cardamomrun_requests.request import (
+    MEMORY_KIND,
+    MEMORY_REASON,
+    MEMORY_REMEDY,
+    BodyTooLargeError,
+    ClientRequest,
+    NoBodyMemoryError,
+    hash_parts,
+)
 from cardamomrun_requests.request_path import RETRY_AFTER_S, RequestServices
 from cardamomrun_requests.routing import MethodNotAllowedError, is_idempotent
 
@@ -81,6 +89,12 @@
                     "deadline", "The deadline ended.", "allow more time", 504
                 )
             )
+        except NoBodyMemoryError:
+            await self._send_error(
+                self._state.error(
+                    MEMORY_KIND, MEMORY_REASON, MEMORY_REMEDY, 503, RETRY_AFTER_S
+                )
+            )
         except BodyTooLargeError:
             await self._send_error(
                 self._state.error(
--- a/packages/cardamomrun-requests/src/cardamomrun_requests/front_proxy.py
+++ b/packages/cardamomrun-requests/src/cardamomrun_requests/front_proxy.py
@@ -16,6 +16,7 @@
 from cardamomrun_base.outcomes import Done, NotRun
 from cardamomrun_base.settings import NodeSettings
 from cardamomrun_requests.client_listener import ClientListener
+from cardamomrun_requests.client_memory import ClientMemory
 from cardamomrun_requests.exchange import Exchange
 from cardamomrun_requests.reply import ResponseWriter
 from cardamomrun_requests.request import (
@@ -56,6 +57,7 @@
         claims: Claims,
         quarantine: Quarantine,
         directory: Directory,
+        memory: ClientMemory | None = None,
     ) -> None:
         self._settings = settings
         self._clock = clock
@@ -63,11 +65,21 @@
             clock, Router(environments), backends, claims, quarantine
         )
         self._directory = directory
-        self._listener = ClientListener(settings, self, idle_s=IDLE_TIMEOUT_S)
+        self._listener = ClientListener(
+            settings,
+            self,
+            memory or ClientMemory(settings, clock),
+            idle_s=IDLE_TIMEOUT_S,
+        )
         self._tasks = self._services.background
         self._sweeper: asyncio.Task[None] | None = None
         self.draining = False
 
+    @property
+    def head_timeout_ms(self) -> float:
+        """How long the head of a request may take to arrive."""
+        return self._settings.clients.head_timeout_ms
+
     async def start(self) -> None:
         """Listen on the front address. Raises `AddressInUseError`."""
         self._listener.open()
--- a/packages/cardamomrun-requests/src/cardamomrun_requests/metrics.py
+++ b/packages/cardamomrun-requests/src/cardamomrun_requests/metrics.py
@@ -9,6 +9,11 @@
 __all__ = [
     "ADDED_SECONDS",
     "CLAIMS",
+    "CLIENT_CLOSES",
+    "CLIENT_CONNECTIONS",
+    "CLIENT_MEMORY",
+    "CLIENT_MEMORY_LIMIT",
+    "CLIENT_REFUSALS",
     "QUARANTINED",
     "QUEUE_LENGTH",
     "QUEUE_SECONDS",
@@ -81,3 +86,24 @@
     "Connections opened to backend servers.",
     ("environment",),
 )
+CLIENT_CONNECTIONS = Gauge(
+    "cardamomrun_client_connections", "Open connections of clients and callers."
+)
+CLIENT_MEMORY = Gauge(
+    "cardamomrun_client_memory_bytes",
+    "Memory held for clients, by what for.",
+    ("kind",),
+)
+CLIENT_MEMORY_LIMIT = Gauge(
+    "cardamomrun_client_memory_limit_bytes", "Memory that clients may use together."
+)
+CLIENT_CLOSES = Counter(
+    "cardamomrun_client_closes",
+    "Connections of clients that were closed to protect the process, by reason.",
+    ("reason",),
+)
+CLIENT_REFUSALS = Counter(
+    "cardamomrun_client_refusals",
+    "Requests and connections refused to protect the process, by reason.",
+    ("reason",),
+)
--- a/packages/cardamomrun-requests/src/cardamomrun_requests/reply.py
+++ b/packages/cardamomrun-requests/src/cardamomrun_requests/reply.py
@@ -1,6 +1,5 @@
 """The response to a client."""
 
-import asyncio
 import json
 import socket
 import struct
@@ -16,10 +15,6 @@
 
 __all__ = ["ResponseWriter"]
 
-# Closing a socket while the client still sends resets the connection, and the client
-# may lose the response. The rest of an upload is therefore read and discarded this long.
-LINGER_S = 1.0
-
 
 class ResponseWriter:
     """Writes the response to one request, with outcome, request id and instance id."""
@@ -80,15 +75,9 @@
         await self._connection.write(chunk)
 
     async def finish(self) -> None:
-        """Mark the response as complete, after reading the rest of the upload."""
-        body = self._request.body
-        if not body.ended:
-            body.discard()
-            try:
-                async with asyncio.timeout(LINGER_S):
-                    await body.wait_ended()
-            except TimeoutError:
-                pass
+        """Mark the response as complete; the connection discards an unread upload."""
+        if not self._request.body.ended:
+            self._request.body.discard()
         self._connection.finish()
 
     def abort(self) -> None:
--- a/packages/cardamomrun-requests/src/cardamomrun_requests/request.py
+++ b/packages/cardamomrun-requests/src/cardamomrun_requests/request.py
@@ -9,11 +9,25 @@
 
 from cardamomrun_base import headers as names
 from cardamomrun_requests.body_channel import BodyChannel
-
-__all__ = ["MAX_RESENDABLE_BYTES", "BodyTooLargeError", "ClientRequest", "RequestBody"]
+from cardamomrun_requests.client_memory import ConnectionAccount, Held
+
+__all__ = [
+    "MAX_RESENDABLE_BYTES",
+    "MEMORY_KIND",
+    "MEMORY_REASON",
+    "MEMORY_REMEDY",
+    "BodyTooLargeError",
+    "ClientRequest",
+    "NoBodyMemoryError",
+    "RequestBody",
+]
 
 # Bodies up to this size can be resent, and are hashed completely.
 MAX_RESENDABLE_BYTES = 65_536
+# The error of a request that there is no memory for.
+MEMORY_KIND = "memory"
+MEMORY_REASON = "The memory for clients is used up."
+MEMORY_REMEDY = "send it again later"
 REQUEST_ID = re.compile(r"[A-Za-z0-9._-]{1,64}")
 
 
@@ -21,6 +35,10 @@
     """The body is larger than the route allows."""
 
 
+class NoBodyMemoryError(Exception):
+    """The memory for bodies is used up; nothing of this one went to a server."""
+
+
 class RequestBody:
     """The body of a request; its start is buffered until more of it is read.
 
@@ -32,7 +50,11 @@
         channel: BodyChannel,
         length: int | None,
         buffer_bytes: int = MAX_RESENDABLE_BYTES,
+        account: ConnectionAccount | None = None,
     ) -> None:
+        self._account = account
+        # Read beyond `buffer_bytes`, and returned by the next `read_chunk`.
+        self._surplus = b""
         self._buffer_bytes = buffer_bytes
         self.length = length
         self.max_bytes = 0
@@ -55,7 +77,7 @@
     async def read_prefix(self) -> None:
         """Buffer the body up to its end or the first `buffer_bytes`.
 
-        Raises `BodyTooLargeError` if it exceeds `max_bytes`.
+        Raises `BodyTooLargeError` if it exceeds `max_bytes`, and `NoBodyMemoryError`.
         """
         if self.length is not None and self.length > self.max_bytes:
             raise BodyTooLargeError
@@ -66,8 +88,15 @@
                 self.length = len(buffered)
                 break
             buffered += chunk
-        self._buffered = bytes(buffered)
-        self._prefix = self._buffered[: self._buffer_bytes]
+            if self._account is not None and not self._account.may_buffer(
+                len(buffered)
+            ):
+                self._account.refuse()
+                raise NoBodyMemoryError
+        # One object for both, so that long bodies aren't held twice.
+        self._surplus = bytes(buffered[self._buffer_bytes :])
+        del buffered[self._buffer_bytes :]
+        self._buffered = self._prefix = bytes(buffered)
 
     def buffered_start(self) -> bytes:
         """Return the buffered start of the body, to be sent with the head."""
@@ -75,15 +104,22 @@
 
     async def read_chunk(self) -> bytes | None:
         """Return the next chunk after `first`, or None at the end."""
-        chunk = await self._next_chunk()
+        chunk: bytes | None
+        if self._surplus:
+            chunk, self._surplus = self._surplus, b""
+        else:
+            chunk = await self._next_chunk()
         if chunk is not None:
             self._resendable = False
             self._buffered = b""
         return chunk
 
     def discard(self) -> None:
-        """Discard what has not been read yet."""
+        """Discard what has not been read yet, and free what is buffered."""
         self._channel.discard()
+        self._buffered = self._prefix = self._surplus = b""
+        if self._account is not None:
+            self._account.hold(Held.BODY, 0)
 
     @property
     def ended(self) -> bool:
--- a/tests/adapter/builders.py
+++ b/tests/adapter/builders.py
@@ -1,6 +1,9 @@
 """Settings files, manifests and check-ins as the platform sends them."""
 
 import json
+from ipaddress import ip_address
+
+from cardamomrun_base.settings import FleetSettings, NodeSettings, Role
 
 SERVICE = "huvo11a"
 
@@ -93,3 +96,18 @@
     }
     values |= changes
     return json.dumps({k: v for k, v in values.items() if v is not None}).encode()
+
+
+def node_settings(**changes):
+    values = {
+        "instance_id": "127.0.0.1",
+        "region": "bc-interior",
+        "failure_domain": "kelowna-a",
+        "roles": (Role.CONTROL,),
+        "host": ip_address("127.0.0.1"),
+        "front_port": 1,
+        "admin_port": 1,
+        "peer_port": 1,
+        "fleet": FleetSettings(trusts_network=True),
+    }
+    return NodeSettings(**(values | changes))
--- a/tests/adapter/test_calls.py
+++ b/tests/adapter/test_calls.py
@@ -6,12 +6,14 @@
 import pytest
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest
 
+from cardamomrun_base.clock import SystemClock
 from cardamomrun_base.errors import DocumentError, UnavailableError
 from cardamomrun_bench.scripted_server import free_port
 from cardamomrun_platform.calls import open_listeners
 from cardamomrun_platform.manifest import decode_manifest
+from cardamomrun_requests.client_memory import ClientMemory
 
-from .builders import check_in, manifest
+from .builders import check_in, manifest, node_settings
 
 
 def no_majority():
@@ -59,6 +61,7 @@
         self.registry = FakeRegistry()
         self.known_addresses = ["10.1.0.35:8144"]
         self.addresses = SimpleNamespace(addresses=self._addresses)
+        self.client_memory = ClientMemory(node_settings(), SystemClock())
         self.queried_domains = []
 
     def _addresses(self, failure_domain):
@@ -113,6 +116,21 @@
     assert serve_call(node, "GET", "/v1/resolve?zone=vernon-a")[0] == 503
 
 
+@pytest.mark.parametrize(("memory_mb", "status"), [(104.0, 200), (64.0, 503)])
+def test_a_manifest_of_some_megabytes_is_taken_if_there_is_memory(memory_mb, status):
+    """Guards against a document of 28,000 organisations that is refused."""
+    node = FakeNode()
+    node.client_memory = ClientMemory(node_settings(memory_mb=memory_mb), SystemClock())
+    body = manifest(padding="x" * 5_000_000)
+    assert serve_call(node, "POST", PUT, body)[0] == status
+    assert (node.control.document is not None) == (status == 200)
+
+
+def test_a_long_body_of_a_small_call_is_not_read():
+    """Guards against memory for bodies that no call needs."""
+    assert serve_call(FakeNode(), "POST", "/v1/ready", bytes(100_000))[0] != 200
+
+
 PUT = "/v1/rpc?call=config.put"
 GET = "/v1/rpc?call=config.get"
 CHECK_IN = "/v1/rpc?call=instances.heartbeat&of=i-1"
--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -27,6 +27,7 @@
     assert [v.instance_id for v in node.control.voters] == ["127.0.0.1", "10.2.0.31"]
     assert node.gateway.retry_slack_count == 62
     assert node.gateway.grace_ms == 6_000
+    assert (node.memory_mb, node.max_fds) == (296.0, None)
     assert settings.control_address == "127.0.0.1:8146"
     assert settings.ready_address is None
     assert settings.metrics_address == "127.0.0.1:7661"
