--- a/packages/cardamomrun-node/src/cardamomrun_node/gateway_node.py
+++ b/packages/cardamomrun-node/src/cardamomrun_node/gateway_node.py
@@ -37,6 +37,7 @@
 from cardamomrun_node.parts import PartLoop, cancel_task, run_with_restarts
 from cardamomrun_node.settings_watch import fields_needing_restart
 from cardamomrun_requests.background import BackgroundTasks
+from cardamomrun_requests.client_memory import ClientMemory
 
 if TYPE_CHECKING:
     from cardamomrun_control.routing_service import RoutingControl
@@ -81,6 +82,7 @@
         )
         self._route_times = RouteTimes()
         self._hedging = Hedging(self._gateway, self._route_times)
+        self.client_memory = ClientMemory(settings, clock)
         self._shutdown = Shutdown(clock, self._gateway.grace_ms)
         self._quotas: Quotas | None = None
         self._front: GatewayFront | None = None
@@ -226,7 +228,9 @@
             self._hedging,
             quotas,
         )
-        self._front = GatewayFront(settings, clock, self._headers, tools, connections)
+        self._front = GatewayFront(
+            settings, clock, self._headers, tools, connections, self.client_memory
+        )
         await self._front.start()
         stack.push_async_callback(self._front.stop)
 
