--- a/packages/cardamomrun-requests/src/cardamomrun_requests/client_connection.py
+++ b/packages/cardamomrun-requests/src/cardamomrun_requests/client_connection.py
@@ -21,7 +21,7 @@
 )
 from tornado.iostream import IOStream, StreamClosedError, UnsatisfiableReadError
 
-from cardamomrun_base.logs import ComponentLog
+from cardamomrun_base.logs import ComponentLog, describe_error
 from cardamomrun_requests.chunk_decoder import ChunkDecoder
 from cardamomrun_requests.client_memory import (
     FREE_FIELD_COUNT,
@@ -273,7 +273,7 @@
         except (StreamClosedError, UnsatisfiableReadError, asyncio.CancelledError):
             pass
         except Exception as error:
-            _log.error("a connection failed", error=repr(error))
+            _log.error("a connection failed", error=describe_error(error))
             stream.close()
         finally:
             stream.close()
