Play organisations, downloads, requests sent ahead and misbehaving clients in the soak

Keys that were dropped are judged from 2 s after the acknowledgement and after the last fault that stopped or paused an instance; runs with organisations go on for 3.5 s after the recovery, so that some of it is always judged.

An exit on one-byte pieces of a body was ruled out as a trial: tornado joins small chunks, so it never took place.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -30,6 +30,8 @@
 PLANNED_KINDS = ("term", "term", "again", "hup", "depart")
 # Planned too, and drawn apart.
 APART_KINDS = ("limit", "roll", "rest", "leave")
+# These stop or pause instances.
+DISTURBING_KINDS = ("pause", "kill", "wipe", "herd", "shed", "term", "again", "roll")
 FAULTY_MODES = tuple(mode for mode in ServerMode if mode is not ServerMode.HEALTHY)
 # Share of the requests that servers refuse while they shed.
 SHED_RATIO = 0.7
@@ -152,6 +154,8 @@
         await getattr(self, f"_{fault.kind}")(fault)
         if fault.kind not in (*PLANNED_KINDS, *APART_KINDS):
             self._ledger.unplanned_s.append((start_s, time.monotonic()))
+        if fault.kind in DISTURBING_KINDS:
+            self._ledger.disturbed_s.append((start_s, time.monotonic()))
 
     async def heal(self) -> None:
         """Make all servers healthy and resume or restart all instances."""
@@ -161,9 +165,23 @@
             if instance.is_paused:
                 instance.signal(signal.SIGCONT)
             self._start(instance)
+        now_s = time.monotonic()
+        self._ledger.disturbed_s.append((now_s, now_s))
+
+    def check_exits(self) -> None:
+        """Check that no instance ended by itself."""
+        for instance in self._instances.all:
+            self._check_exit(instance)
+
+    def _check_exit(self, instance: Instance) -> None:
+        if instance.unexpected_exit_code is not None:
+            self._ledger.record_violation(
+                f"{instance.ip} ended by itself with {instance.unexpected_exit_code}"
+            )
 
     def _start(self, instance: Instance) -> None:
         if not instance.is_running:
+            self._check_exit(instance)
             self._ledger.record_restart(instance.ip)
             instance.start()
 
