Ping overlay links from the opening end only

Now the opener pings, and the accepting end closes a link on which it received nothing for the silence time. An answer to a request counts as a pong of the opener. A shorter time-out at the accepting end was ruled out: with ping_ms at half of silence_ms nothing would be left for delays. TCP_USER_TIMEOUT bounds its unacknowledged pongs instead.

An accepting end whose opener pings rarely asks with a ping of its own.

--- a/packages/cardamomrun-fleet/src/cardamomrun_fleet/links.py
+++ b/packages/cardamomrun-fleet/src/cardamomrun_fleet/links.py
@@ -17,6 +17,7 @@
 from websockets.asyncio.connection import Connection
 from websockets.asyncio.server import Server, ServerConnection, serve
 from websockets.exceptions import ConnectionClosed, WebSocketException
+from websockets.frames import CloseCode
 
 from cardamomrun_base.clock import MS_PER_S, Clock
 from cardamomrun_base.codec import CodecError, decode, encode, message
@@ -66,6 +67,9 @@
 # At the target scale there are many request links (claims reach 3 of 420 keepers), so
 # they are pinged rarely. A request that times out on a silent link closes it instead.
 REQUEST_LINK_PING_MS = 20_000
+# An accepted overlay link that heard nothing for this many ping intervals asks with a
+# ping of its own: the opener may ping less often than this instance expects.
+OVERDUE_PING_RATIO = 1.25
 MAX_MESSAGE_BYTES = 16_000_000
 # The queues of about 8 overlay links must fit into 128 MB with everything else.
 SEND_QUEUE_BYTES = 4_000_000
@@ -198,14 +202,18 @@
         """
         correlation = next(self._correlations)
         sent_ms = self.last_used_ms = self._clock.now_ms()
-        answer = asyncio.get_running_loop().create_future()
+        loop = asyncio.get_running_loop()
+        sent_s = loop.time()
+        answer = loop.create_future()
         self._pending_answers[correlation] = answer
         try:
             shares = message_shares(content)
             if not self._send(REQUEST, correlation, encode(content), shares):
                 raise _unreachable(self.peer_id)
             async with asyncio.timeout(timeout_ms / MS_PER_S):
-                return await answer
+                content = await answer
+            self._connection.message_answered(sent_s)
+            return content
         except TimeoutError as error:
             self._close_if_silent_since(sent_ms)
             raise _timed_out(
@@ -399,23 +407,107 @@
                 future.set_exception(_timed_out(self.peer_id, "the link closed"))
 
 
-class _PingCounting:
-    """Calls `on_ping` for each ping that the library sends to keep a link alive."""
+class _KeptConnection:
+    """A connection that closes itself when its peer falls silent, and counts pings.
+
+    The end that opened an overlay link pings; the pings are the sign of life that the
+    other end waits for. Replaces the keepalive of the library, where both ends ping.
+    """
 
     on_ping: Callable[[], None] | None = None
+    loop: asyncio.AbstractEventLoop
+    protocol: Any
+    send_context: Any
+    ping_interval: Any
+    ping_timeout: Any
+
+    def __init__(self, *arguments: Any, **options: Any) -> None:
+        super().__init__(*arguments, **options)
+        self._received_s = self._answered_s = self.loop.time()
 
     async def ping(self, *arguments: Any) -> Any:
         if self.on_ping is not None:
             self.on_ping()
         return await super().ping(*arguments)  # type: ignore[misc]
 
+    def data_received(self, data: bytes) -> None:
+        self._received_s = self.loop.time()
+        super().data_received(data)  # type: ignore[misc]
 
-class _OpenedConnection(_PingCounting, ClientConnection):
+    def message_answered(self, sent_s: float) -> None:
+        """Count an answer as a pong: what was sent at `sent_s` (loop time) arrived."""
+        self._answered_s = max(self._answered_s, sent_s)
+
+    async def keepalive(self) -> None:
+        """Close the connection when the peer falls silent."""
+        try:
+            await self._wait_for_silence()
+            async with self.send_context():
+                self.protocol.fail(CloseCode.INTERNAL_ERROR, "keepalive ping timeout")
+        except (WebSocketException, OSError) as error:
+            # The connection ended meanwhile; its reader reports that.
+            log.info(f"keepalive ended: {error!r}")
+
+    async def _wait_for_silence(self) -> None:
+        """Ping when no message was answered for a ping interval; return if unanswered.
+
+        What was sent last and answered was sent before the connection broke, so the
+        silence counts from there.
+        """
+        while True:
+            await asyncio.sleep(
+                self._answered_s + self.ping_interval - self.loop.time()
+            )
+            sent_s = self.loop.time()
+            if sent_s < self._answered_s + self.ping_interval:
+                continue
+            pong = await self.ping()
+            try:
+                async with asyncio.timeout(self.ping_timeout):
+                    await pong
+            except TimeoutError:
+                return
+            self.message_answered(sent_s)
+
+
+class _OpenedConnection(_KeptConnection, ClientConnection):
     pass
 
 
-class _AcceptedConnection(_PingCounting, ServerConnection):
-    pass
+class _AcceptedConnection(_KeptConnection, ServerConnection):
+    purpose = LinkPurpose.OVERLAY
+
+    async def _wait_for_silence(self) -> None:
+        """Return when nothing was received for the silence time."""
+        if self.purpose is LinkPurpose.REQUEST:
+            await super()._wait_for_silence()
+            return
+        # If only messages to the opener are lost, the opener closes the link. Where the
+        # loss also keeps acknowledgements of the opener's packets from it, its kernel
+        # holds the close frame back, so this end's unacknowledged pong must count.
+        self._limit_unacknowledged_time()
+        silence_s = self.ping_interval + self.ping_timeout
+        overdue_s = min(
+            self.ping_interval * OVERDUE_PING_RATIO,
+            self.ping_interval + self.ping_timeout / 2,
+        )
+        asked_s = float("-inf")
+        while (quiet_s := self.loop.time() - self._received_s) < silence_s:
+            if quiet_s < overdue_s:
+                await asyncio.sleep(overdue_s - quiet_s)
+            elif asked_s < self._received_s:
+                asked_s = self.loop.time()
+                await self.ping()
+            else:
+                await asyncio.sleep(silence_s - quiet_s)
+
+    def _limit_unacknowledged_time(self) -> None:
+        connection = self.transport.get_extra_info("socket")
+        connection.setsockopt(
+            socket.IPPROTO_TCP,
+            socket.TCP_USER_TIMEOUT,
+            int(self.ping_timeout * MS_PER_S),
+        )
 
 
 def _answer_shares(request: Any) -> tuple[Share, ...]:
@@ -454,8 +546,9 @@
             if hello is not None:
                 await accept(connection, hello, _purpose_of(connection))
 
-    def set_ping_interval(connection: Any, request: Any) -> None:
+    def set_purpose(connection: Any, request: Any) -> None:
         if request.path == f"/{LinkPurpose.REQUEST}":
+            connection.purpose = LinkPurpose.REQUEST
             connection.ping_interval = REQUEST_LINK_PING_MS / MS_PER_S
 
     return await serve(
@@ -463,7 +556,7 @@
         str(settings.host),
         settings.peer_port,
         ssl=_tls_context(settings.tls, ssl.Purpose.CLIENT_AUTH),
-        process_request=set_ping_interval,
+        process_request=set_purpose,
         create_connection=_AcceptedConnection,
         backlog=LISTEN_QUEUE_COUNT,
         **_websocket_options(settings, LinkPurpose.OVERLAY),
