Skip polls of the event loop that would not wait

On the users' machines system calls are charged, and 60% of the epoll calls of an entry instance had a zero timeout because callbacks were ready; 1% of these found an event.

Ruled out: reading datagrams in one go, as a poll returns 1.03 events; a common grid for the regular loops, which saves 3 wake-ups of 39 a second.

--- a/packages/cardamomrun-node/src/cardamomrun_node/main.py
+++ b/packages/cardamomrun-node/src/cardamomrun_node/main.py
@@ -8,6 +8,7 @@
 
 import fire
 
+from cardamomrun_base import event_loop
 from cardamomrun_base.clock import SystemClock
 from cardamomrun_base.errors import CardamomrunError
 from cardamomrun_base.logs import ComponentLog, start_logs
@@ -32,7 +33,7 @@
         """
         loaded = load_settings(Path(settings))
         start_logs(loaded.instance_id)
-        asyncio.run(_run_node(loaded))
+        event_loop.run(_run_node(loaded))
 
     def check(self, settings: str, json: bool = False) -> None:
         """Check a settings file without starting anything.
