Return tokens of requests that no server received

A request that found no room, or whose client left, kept its token, so that clients returning after a 503 used up the quota of their organisation: with 5 tokens and no backend server, some of 12 calls got 429 instead of 503. Tokens were also taken before the body arrived, and used in a later window.

The token is taken once the start of the body is there, and goes back to the lease or to the token server while the lease is valid, if no server may have received anything. Returning it to the local lease alone was ruled out: small organisations have no further request at that instance in time.

Also: other limits in the document drop the lease and the denial in hand (a lease at the old limit was used); a token server that hands over or reaches few instances denies for at most 250 ms instead of the time to the next token, up to 2 s; Retry-After has a minimum (4 ms was seen). The quota, its key and the metrics' children are no longer looked up for each request.

--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/datagram_kinds.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/datagram_kinds.py
@@ -22,6 +22,7 @@
     b"\x0e": MessageKind.DOCUMENT,
     b"\x0f": MessageKind.QUOTA,
     b"\x10": MessageKind.QUOTA,
+    b"\x11": MessageKind.QUOTA,
 }
 
 
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/dispatch.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/dispatch.py
@@ -22,6 +22,7 @@
     Placement,
     PlacementCriteria,
 )
+from cardamomrun_gateway.quota_bucket import Admitted
 from cardamomrun_gateway.quotas import Quotas
 from cardamomrun_gateway.refusals import (
     RETRY_SOON_S,
@@ -112,6 +113,8 @@
         self._own_address = own_address
         self._relay: RequestRelay | None = None
         self._responder: Server | None = None
+        # The request and the token that it has taken from its organisation's quota.
+        self._charged: tuple[RoutedRequest, Admitted] | None = None
         asked_by = request.headers.get(names.RELAYED_BY)
         # Only instances of the fleet may say for whom they ask.
         self._is_relayed = asked_by is not None and tools.peers.is_member(
@@ -136,6 +139,7 @@
             await self._send_internal_error(error)
         finally:
             self._end_attempts()
+            self._give_back_token()
             self._request.body.discard()
             self._record_metrics(self._clock.now_ms() - arrived_ms)
 
@@ -156,9 +160,15 @@
                 routed.remaining_ms(self._clock) + DEADLINE_GRACE_MS
             ) / MS_PER_S
             async with asyncio.timeout(remaining_s):
-                await self._tools.quotas.check(routed, is_relayed=self._is_relayed)
+                quotas = self._tools.quotas
+                quotas.check_denial(routed, is_relayed=self._is_relayed)
                 await self._request.body.read_prefix()
                 self._check_crashes()
+                # After the body, which may take seconds: tokens that were taken long
+                # before let more requests reach servers in one window than allowed.
+                admitted = await quotas.check(routed, is_relayed=self._is_relayed)
+                if admitted is not None:
+                    self._charged = routed, admitted
                 if self._should_run_elsewhere():
                     response = await self._run_elsewhere(routed)
                 else:
@@ -186,6 +196,16 @@
             await self._send_error(RequestFailedError("body-too-large", outcome))
         await self._reply.finish()
 
+    def _give_back_token(self) -> None:
+        """Return the token of a request of which no server received anything."""
+        if self._charged is None:
+            return
+        (routed, admitted), self._charged = self._charged, None
+        # A relayed request may have arrived at a server although it was not run.
+        if self._has_arrived or self._relay is not None or routed.organisation is None:
+            return
+        self._tools.quotas.give_back(routed.organisation, admitted)
+
     def _check_crashes(self) -> None:
         self._identity = RequestIdentity.of(self._request, self._client)
         if self._is_blocked():
@@ -605,6 +625,7 @@
             self._relay.close()
         running, self._running = self._running, {}
         for task, attempt in running.items():
+            self._has_arrived |= attempt.has_arrived
             task.cancel()
             attempt.close()
 
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/quota_bucket.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/quota_bucket.py
@@ -8,7 +8,7 @@
 import math
 import random
 from collections import deque
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from cardamomrun_base.clock import MS_PER_S
 from cardamomrun_base.routing_document import Organisation
@@ -44,7 +44,8 @@
 # They are less so the more instances are unreachable, since the old token server may
 # have granted to those. From a quarter on, everything is deducted.
 TAKEOVER_UNREACHABLE_FACTOR = 4.0
-# A wait for a token up to this is preferred to a refusal.
+# A wait for a token up to this is preferred to a refusal. Clients are not told to return
+# sooner.
 MAX_WAIT_MS = 20.0
 # Shortest time for which a denial is cached. With a shorter one, each refused request of
 # an organisation far over its quota would be a question.
@@ -62,10 +63,14 @@
 
 @dataclass(frozen=True)
 class Admitted:
-    """The request may be sent, after `delay_ms`."""
+    """The request may be sent, after `delay_ms`.
+
+    `asked_ms` is when the lease of its token was asked for.
+    """
 
     delay_ms: float = 0.0
     is_local: bool = False
+    asked_ms: float = field(default=float("-inf"), compare=False)
 
 
 @dataclass(frozen=True)
@@ -229,19 +234,29 @@
         if quota.capacity_count < 1.0:
             if self.take_fraction(self._random):
                 return Lease(1, 0.0, max(0.0, self._level_count))
-            return Denied(MAX_DENIAL_MS)
+            # Few instances are reached, as after a pause until reports arrive. That may
+            # be over long before the next token of so small a share.
+            return Denied(LOCAL_SHARE_MS)
         count = min(asked_count, math.floor(self._level_count))
         if count >= 1:
             self._level_count -= count
             return Lease(count, 0.0, self._level_count)
+        if self._handover_since_ms is not None:
+            # The successor may have tokens.
+            return Denied(MIN_DENIAL_MS)
         if quota.per_s <= 0.0:
             return Denied(MAX_DENIAL_MS)
         wait_ms = (1.0 - self._level_count) * MS_PER_S / quota.per_s
-        if wait_ms > MAX_WAIT_MS or self._handover_since_ms is not None:
+        if wait_ms > MAX_WAIT_MS:
             return Denied(wait_ms)
         self._level_count -= 1.0
         return Lease(1, wait_ms, 0.0)
 
+    def give_back(self, quota: Quota, count: int) -> None:
+        """Add tokens that were granted and not used."""
+        level_count = self._level_count + count
+        self._level_count = min(quota.capacity_count, level_count)
+
     def restart(self, quota: Quota, now_ms: float) -> None:
         """Start again after a pause, in which another instance may have granted."""
         self.limit(quota.start_count)
@@ -287,6 +302,7 @@
     ) -> None:
         self.settings = settings
         self._random = randomness or random.Random()
+        self._quota: Quota | None = None
         self._token_count = 0
         self._ready_ms = now_ms
         self._asked_ms = self._asked_wall_ms = float("-inf")
@@ -317,10 +333,13 @@
         self, quota: Quota, known_count: int, now_ms: float, wall_ms: float
     ) -> Admitted | OverQuota | None:
         """Return the decision on one request; None if it needs a lease."""
+        if quota is not self._quota:
+            self._change_quota(quota)
         if self._token_count:
             if self._is_lease_valid(now_ms, wall_ms):
                 self._token_count -= 1
-                return Admitted(max(0.0, self._ready_ms - now_ms))
+                delay_ms = max(0.0, self._ready_ms - now_ms)
+                return Admitted(delay_ms, asked_ms=self._asked_ms)
             self._token_count = 0
         if now_ms < self._denied_until_ms:
             return self._refuse(quota, known_count, self._denied_until_ms, now_ms)
@@ -338,6 +357,35 @@
             return Admitted(is_local=True)
         return self._refuse(quota, known_count, self._local_until_ms, now_ms)
 
+    def refusal_if_denied(
+        self, quota: Quota, known_count: int, now_ms: float
+    ) -> OverQuota | None:
+        """Return the refusal of a request if a denial is cached that applies to it."""
+        if self._token_count or quota is not self._quota:
+            return None
+        if now_ms >= self._denied_until_ms:
+            return None
+        return self._refuse(quota, known_count, self._denied_until_ms, now_ms)
+
+    def give_back(self, admitted: Admitted, now_ms: float, wall_ms: float) -> bool:
+        """Take back the token of a request that was not sent.
+
+        Returns True if the token is of use to the token server only, since no other
+        request is expected here while it is valid.
+        """
+        if admitted.is_local:
+            # It is not reported to the token server if it has not been yet.
+            if self._local_admitted_ms:
+                self._local_admitted_ms.pop()
+            return False
+        is_of_lease = admitted.asked_ms == self._asked_ms
+        if not is_of_lease or not self._is_lease_valid(now_ms, wall_ms):
+            return False
+        if self._demand.get(now_ms) * LEASE_MS < DEMAND_MS:
+            return True
+        self._token_count += 1
+        return False
+
     def add_lease(
         self, lease: Lease, asked_ms: float, asked_wall_ms: float, now_ms: float
     ) -> None:
@@ -375,6 +423,13 @@
         for _ in range(min(count, len(self._local_admitted_ms))):
             self._local_admitted_ms.popleft()
 
+    def _change_quota(self, quota: Quota) -> None:
+        """Drop what was granted or denied by a document with other limits."""
+        if self._quota is not None and quota != self._quota:
+            self._token_count = 0
+            self._denied_until_ms = float("-inf")
+        self._quota = quota
+
     def _is_lease_valid(self, now_ms: float, wall_ms: float) -> bool:
         """Return False for a lease that is too old by one of the clocks.
 
@@ -398,7 +453,7 @@
             fleet_count = self._refused.get(now_ms) * known_count
             spread_ms = fleet_count * MS_PER_S / quota.per_s
         spread_ms = min(MAX_SPREAD_MS, max(MIN_SPREAD_MS, spread_ms))
-        free_in_ms = max(0.0, until_ms - now_ms)
+        free_in_ms = max(MAX_WAIT_MS, until_ms - now_ms)
         return OverQuota(free_in_ms + spread_ms * self._random.random())
 
 
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/quotas.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/quotas.py
@@ -1,7 +1,8 @@
 """Quotas of organisations, which all entry instances share.
 
 An instance asks the organisation's token server for a lease. Question and answer are a
-datagram each, and either may be lost. Tokens whose answer is lost count as used.
+datagram each, and either may be lost. Tokens whose answer is lost count as used. Another
+datagram gives back the token of a request that was not sent.
 """
 
 import asyncio
@@ -31,7 +32,7 @@
     Quota,
 )
 from cardamomrun_gateway.quota_members import QuotaMembers
-from cardamomrun_gateway.refusals import refusal
+from cardamomrun_gateway.refusals import RequestFailedError, refusal
 from cardamomrun_gateway.report_relays import Address, address_of
 from cardamomrun_gateway.routed_request import RoutedRequest
 from cardamomrun_gateway.table import RoutingTable
@@ -43,11 +44,14 @@
 # no answer.
 ASK = b"\x0f"
 ANSWER = b"\x10"
+RETURN = b"\x11"
 # Number, key of the organisation, tokens wanted, tokens used without a lease.
 QUESTION_FORMAT = struct.Struct("!HQBB")
 # Number, tokens granted, time until they are free or the next one is, level of the
 # bucket.
 ANSWER_FORMAT = struct.Struct("!HBHH")
+# Key of the organisation, tokens that were not used.
+RETURN_FORMAT = struct.Struct("!QB")
 NUMBER_COUNT = 1 << 16
 MAX_BYTE = 255
 MAX_SHORT = 65_535
@@ -78,6 +82,12 @@
 OVER_END_MS = 5_000.0
 NO_ANSWER_LOG_MS = 1_000.0
 
+# Looked up once: each lookup of labels costs more than the decision.
+DECISIONS = {
+    label: metrics.QUOTA_DECISIONS.labels(label)
+    for label in ("refused", "local-share", "lease")
+}
+
 _log = ComponentLog("quotas")
 
 
@@ -86,6 +96,9 @@
     """One organisation on an instance, and the question in flight, if any."""
 
     held: InstanceQuota
+    organisation: Organisation
+    key: int
+    quota: Quota
     waiting_count: int = 0
     task: asyncio.Task[None] | None = None
 
@@ -127,7 +140,8 @@
         self._member_change_count = 0
         self._numbers = itertools.count(self._random.randrange(NUMBER_COUNT))
         self._pending: dict[int, asyncio.Future[Lease | Denied | None]] = {}
-        self._exchanges: dict[int, _Exchange] = {}
+        # By name.
+        self._exchanges: dict[str, _Exchange] = {}
         self._grants: dict[int, _Grants] = {}
         self._tasks = BackgroundTasks()
         self._pauses = PauseDetector(clock.now_ms(), clock.wall_ms())
@@ -137,12 +151,14 @@
         self._organisations: dict[int, Organisation] = {}
         reports.add_handler(ASK, self._on_ask)
         reports.add_handler(ANSWER, self._on_answer)
+        reports.add_handler(RETURN, self._on_return)
 
     def update_settings(self, settings: GatewaySettings) -> None:
         """Replace the window and the tolerances of all quotas."""
         self._settings = settings
         for exchange in self._exchanges.values():
             exchange.held.settings = settings
+            exchange.quota = Quota.of(exchange.organisation, settings)
 
     async def run(self) -> None:
         """Call `tick` regularly, until cancelled."""
@@ -159,24 +175,54 @@
         self._members.refresh()
         self._forget_idle()
 
-    async def check(self, routed: RoutedRequest, *, is_relayed: bool) -> None:
+    def check_denial(self, routed: RoutedRequest, *, is_relayed: bool) -> None:
+        """Raise `RequestFailedError` if it is known that there is no token."""
+        organisation = _limited_organisation(routed, is_relayed=is_relayed)
+        if organisation is None:
+            return
+        exchange = self._exchanges.get(organisation.name)
+        if exchange is None or exchange.organisation is not organisation:
+            return
+        result = exchange.held.refusal_if_denied(
+            exchange.quota, self._members.share.known_count, self._clock.now_ms()
+        )
+        if result is not None:
+            DECISIONS[_decision_label(result)].inc()
+            raise _over_quota_error(routed, result)
+
+    async def check(
+        self, routed: RoutedRequest, *, is_relayed: bool
+    ) -> Admitted | None:
         """Take a token for a request; raise `RequestFailedError` if there is none.
 
-        Requests of public routes need none. For a relayed one, the instance that asks
-        has taken it.
+        Returns None for a request that needs none. For a relayed one, the instance that
+        asks has taken it.
         """
-        organisation = routed.organisation
-        if organisation is None or routed.route.is_public or is_relayed:
-            return
+        organisation = _limited_organisation(routed, is_relayed=is_relayed)
+        if organisation is None:
+            return None
         result = await self.admit(organisation)
         if isinstance(result, OverQuota):
-            metrics.REFUSALS.labels(routed.service, "over-quota").inc()
-            raise refusal(
-                "over-quota",
-                "The organisation is over its quota.",
-                result.retry_after_ms / MS_PER_S,
-                status=429,
-            )
+            raise _over_quota_error(routed, result)
+        return result
+
+    def give_back(self, organisation: Organisation, admitted: Admitted) -> None:
+        """Take back the token of a request of which no server received anything.
+
+        To be called at most once for each token.
+        """
+        exchange = self._exchanges.get(organisation.name)
+        if exchange is None:
+            return
+        now_ms, wall_ms = self._clock.now_ms(), self._clock.wall_ms()
+        if not exchange.held.give_back(admitted, now_ms, wall_ms):
+            return
+        granter = self._members.granter(exchange.key)
+        if self._members.is_granter(exchange.key):
+            self._add_returned(exchange.key, 1)
+        elif granter is not None:
+            body = RETURN_FORMAT.pack(exchange.key, 1)
+            self._reports.send(RETURN + body, address_of(granter.peer_address))
 
     async def admit(self, organisation: Organisation) -> Admitted | OverQuota:
         """Take a token for one request; waits shortly if one becomes free."""
@@ -185,66 +231,69 @@
         self._note_time()
         self._members.refresh()
         result = await self._decide(organisation)
-        metrics.QUOTA_DECISIONS.labels(_decision_label(result)).inc()
+        DECISIONS[_decision_label(result)].inc()
         if isinstance(result, Admitted) and result.delay_ms > 0.0:
             await self._clock.sleep_ms(result.delay_ms)
         return result
 
     async def _decide(self, organisation: Organisation) -> Admitted | OverQuota:
-        key = organisation_key(organisation.name)
-        quota = Quota.of(organisation, self._settings)
-        now_ms = self._clock.now_ms()
-        exchange = self._exchanges.get(key)
-        if exchange is None:
-            held = InstanceQuota(self._settings, now_ms, self._random)
-            exchange = self._exchanges[key] = _Exchange(held)
+        exchange = self._exchange(organisation)
         held = exchange.held
-        held.count_request(now_ms)
+        held.count_request(self._clock.now_ms())
         for _ in range(MAX_ROUNDS):
             result = held.decide(
-                quota,
+                exchange.quota,
                 self._members.share.known_count,
                 self._clock.now_ms(),
                 self._clock.wall_ms(),
             )
             if result is not None:
                 return result
-            await self._wait_for_lease(exchange, organisation, key, quota)
+            await self._wait_for_lease(exchange)
         return held.use_local_share(
-            quota, self._members.share.known_count, self._clock.now_ms()
+            exchange.quota, self._members.share.known_count, self._clock.now_ms()
         )
 
-    async def _wait_for_lease(
-        self, exchange: _Exchange, organisation: Organisation, key: int, quota: Quota
-    ) -> None:
-        if self._members.is_granter(key):
-            self._take_own(exchange, organisation, key)
+    def _exchange(self, organisation: Organisation) -> _Exchange:
+        exchange = self._exchanges.get(organisation.name)
+        if exchange is None:
+            now_ms = self._clock.now_ms()
+            exchange = self._exchanges[organisation.name] = _Exchange(
+                InstanceQuota(self._settings, now_ms, self._random),
+                organisation,
+                organisation_key(organisation.name),
+                Quota.of(organisation, self._settings),
+            )
+        elif exchange.organisation is not organisation:
+            exchange.organisation = organisation
+            exchange.quota = Quota.of(organisation, self._settings)
+        return exchange
+
+    async def _wait_for_lease(self, exchange: _Exchange) -> None:
+        if self._members.is_granter(exchange.key):
+            self._take_own(exchange)
             return
         exchange.waiting_count += 1
         try:
             if exchange.task is None:
                 # A task of its own: the request that began it may be cancelled.
-                exchange.task = self._tasks.spawn(
-                    self._renew_lease(exchange, key, quota)
-                )
+                exchange.task = self._tasks.spawn(self._renew_lease(exchange))
             await asyncio.shield(exchange.task)
         finally:
             exchange.waiting_count -= 1
 
-    def _take_own(
-        self, exchange: _Exchange, organisation: Organisation, key: int
-    ) -> None:
+    def _take_own(self, exchange: _Exchange) -> None:
         held, now_ms = exchange.held, self._clock.now_ms()
         debt_count = held.debt_count(now_ms)
         held.settle_debt(debt_count)
-        result = self._grant(key, organisation, 1, debt_count)
+        result = self._grant(exchange.key, exchange.organisation, 1, debt_count)
         if isinstance(result, Lease):
             held.add_lease(result, now_ms, self._clock.wall_ms(), now_ms)
         else:
             held.add_denial(result, now_ms)
 
-    async def _renew_lease(self, exchange: _Exchange, key: int, quota: Quota) -> None:
-        held = exchange.held
+    async def _renew_lease(self, exchange: _Exchange) -> None:
+        held, key = exchange.held, exchange.key
         try:
             for _ in range(QUESTION_ATTEMPTS):
                 granter = self._members.granter(key)
@@ -270,7 +319,7 @@
                     # The next round takes it from the own bucket.
                     return
             held.add_no_answer(
-                quota, self._members.share.known_count, self._clock.now_ms()
+                exchange.quota, self._members.share.known_count, self._clock.now_ms()
             )
         finally:
             exchange.task = None
@@ -337,6 +386,18 @@
         else:
             pending.set_result(Denied(value * TIME_UNIT_MS))
 
+    def _on_return(self, body: bytes, sender: Address) -> None:
+        key, count = _unpack(RETURN_FORMAT, body)
+        self._note_time()
+        if self._clock.now_ms() - self._resumed_ms >= OLD_QUESTIONS_MS:
+            self._add_returned(key, count)
+
+    def _add_returned(self, key: int, count: int) -> None:
+        """Put tokens back into a bucket, if this instance has it."""
+        grants, organisation = self._grants.get(key), self._organisation(key)
+        if grants is not None and organisation is not None:
+            grants.bucket.give_back(self._granted_quota(organisation), count)
+
     def _grant(
         self, key: int, organisation: Organisation, wanted_count: int, debt_count: int
     ) -> Lease | Denied:
@@ -410,10 +471,10 @@
 
     def _forget_idle(self) -> None:
         now_ms = self._clock.now_ms()
-        for key, exchange in list(self._exchanges.items()):
+        for name, exchange in list(self._exchanges.items()):
             is_idle = exchange.task is None and not exchange.waiting_count
             if is_idle and now_ms - exchange.held.used_ms > IDLE_MS:
-                del self._exchanges[key]
+                del self._exchanges[name]
         for key, grants in list(self._grants.items()):
             age_ms = grants.bucket.handover_age_ms(now_ms)
             if age_ms is not None and age_ms > HANDOVER_MS:
@@ -481,6 +542,25 @@
     return score("organisation", name)
 
 
+def _limited_organisation(
+    routed: RoutedRequest, *, is_relayed: bool
+) -> Organisation | None:
+    """Return the organisation whose token a request needs, if any."""
+    if routed.route.is_public or is_relayed:
+        return None
+    return routed.organisation
+
+
+def _over_quota_error(routed: RoutedRequest, result: OverQuota) -> RequestFailedError:
+    metrics.REFUSALS.labels(routed.service, "over-quota").inc()
+    return refusal(
+        "over-quota",
+        "The organisation is over its quota.",
+        result.retry_after_ms / MS_PER_S,
+        status=429,
+    )
+
+
 def _unpack(layout: struct.Struct, body: bytes) -> tuple:
     try:
         return layout.unpack(body)
--- a/packages/cardamomrun-gateway/tests/test_quota_bucket.py
+++ b/packages/cardamomrun-gateway/tests/test_quota_bucket.py
@@ -147,6 +147,66 @@
     assert decide(held, 250.0) is None
 
 
+def test_a_denial_by_a_server_that_may_have_no_say_is_short():
+    # Guards against a refusal for 2 s while the successor, or the same token server
+    # once it hears the others, has tokens.
+    small = Quota.of(Organisation("yefi830", (), 0, 1.0, 1.0), SETTINGS)
+    bucket = GrantBucket(small, -60_000.0, 0.0)
+    bucket.hand_over(small, 0.0)
+    assert bucket.take(small, 50, 0, 0.0).count == 5
+    assert bucket.take(small, 1, 0, 0.0).free_in_ms <= 100.0
+    alone = small.granted(FleetShare(1, INSTANCE_COUNT))
+    bucket = GrantBucket(alone, 0.0, 0.0, random.Random(1))
+    results = [bucket.take(alone, 1, 0, 0.0) for _ in range(10)]
+    assert max(r.free_in_ms for r in results if isinstance(r, Denied)) <= 250.0
+
+
+def test_other_limits_of_a_document_end_what_was_granted_or_denied():
+    lower = Quota.of(Organisation("yefi830", (), 0, 1.0, 1.0), SETTINGS)
+    held = instance()
+    assert decide(held, 0.0) is None
+    held.add_lease(Lease(9, 0.0, 5.0), 0.0, 0.0, 0.0)
+    assert decide(held, 1.0) == Admitted()
+    # The rest of the lease would exceed the lower limit.
+    assert decide(held, 2.0, quota=lower) is None
+    held.add_denial(Denied(1_000.0), 3.0)
+    assert isinstance(decide(held, 4.0, quota=lower), OverQuota)
+    assert decide(held, 5.0) is None
+
+
+def test_no_client_is_told_to_return_at_once():
+    held = instance()
+    held.add_lease(Lease(0, 0.0, 0.0), 0.0, 0.0, 0.0)
+    held.add_no_answer(QUOTA, INSTANCE_COUNT, 0.0)
+    results = [held.use_local_share(QUOTA, 94, 250.0) for _ in range(200)]
+    waits_ms = [r.retry_after_ms for r in results if isinstance(r, OverQuota)]
+    assert min(waits_ms) >= 20.0
+
+
+def test_a_returned_token_is_used_once_and_not_after_its_lease():
+    held = instance()
+    for at_ms in range(10):
+        held.count_request(float(at_ms))
+    held.add_lease(Lease(1, 0.0, 5.0), 10.0, 10.0, 10.0)
+    admitted = decide(held, 11.0)
+    assert not held.give_back(admitted, 20.0, 20.0)
+    assert decide(held, 21.0) == Admitted()
+    assert decide(held, 22.0) is None
+    held.give_back(admitted, 261.0, 261.0)
+    assert decide(held, 261.0) is None
+    held.add_lease(Lease(1, 0.0, 5.0), 300.0, 300.0, 300.0)
+    held.give_back(admitted, 300.0, 300.0)
+    assert decide(held, 301.0) == Admitted()
+    assert decide(held, 302.0) is None
+
+
+def test_a_bucket_takes_no_more_back_than_it_has_room_for():
+    bucket = full_bucket()
+    assert bucket.take(QUOTA, 5, 0, 0.0).count == 5
+    bucket.give_back(QUOTA, 200)
+    assert bucket.take(QUOTA, 50, 0, 0.0).count == 20
+
+
 def test_a_pause_shows_on_either_clock():
     detector = PauseDetector(0.0, 0.0)
     assert not detector.has_paused(200.0, 200.0)
--- a/packages/cardamomrun-gateway/tests/test_quotas.py
+++ b/packages/cardamomrun-gateway/tests/test_quotas.py
@@ -35,6 +35,7 @@
     member,
     no_report,
     relay_message,
+    request,
     response,
     route,
     routing_record,
@@ -255,6 +256,76 @@
     asyncio.run(check())
 
 
+async def run_limited(servers, check):
+    """Run `check` with a gateway whose only organisation has 5 tokens."""
+    limited = replace(CUSTOMER, keys=("k1",), requests_per_s=0.01, burst_count=0.0)
+    async with gateway(*servers) as running:
+        content = replace(running.table.document, number=2, organisations=(limited,))
+        running.store.put(routing_record(content))
+        running.fleet.listed = [member("e1")]
+        await check(running)
+
+
+def test_requests_that_no_server_received_do_not_use_up_the_quota():
+    async def check(running):
+        key = {"authorization": "Bearer k1"}
+        answers = [await running.call(**key) for _ in range(12)]
+        assert {answer.status for answer in answers} == {503}
+        # Too large for the document, which refuses it before a token is taken.
+        size = running.table.document.limits.body_bytes + 1
+        answers = [
+            await running.call("POST", content_length=str(size), **key)
+            for _ in range(12)
+        ]
+        assert {answer.status for answer in answers} == {413}
+
+    asyncio.run(run_limited([], check))
+
+
+def test_a_request_takes_its_token_once_its_body_is_there():
+    # Tokens of requests whose bodies are slow would be used in a later window.
+    async def check(running):
+        granted = metrics.QUOTA_TOKENS._value.get
+        before = granted()
+        reader, writer = await running.connect()
+        data = request("POST", body=b"12345678", authorization="Bearer k1")
+        writer.write(data[:-1])
+        await asyncio.sleep(0.2)
+        assert granted() == before
+        writer.write(data[-1:])
+        await reader.read()
+        writer.close()
+        assert granted() == before + 1
+
+    server = ScriptedServer([Step(response())])
+    asyncio.run(run_limited([server], check))
+
+
+def test_a_token_that_is_not_used_goes_back_to_the_token_server():
+    async def check():
+        fleet = Fleet()
+        for instance in fleet.all:
+            token = await instance.quotas.admit(CUSTOMER)
+            instance.quotas.give_back(CUSTOMER, token)
+        assert await fleet.granter.admit_many(30) == 20
+
+    asyncio.run(check())
+
+
+def test_a_token_does_not_go_back_after_its_lease():
+    # It would be used in a window later than the one in which it was granted.
+    async def check():
+        fleet = Fleet()
+        other = fleet.others[0]
+        token = await other.quotas.admit(CUSTOMER)
+        fleet.pass_ms(300)
+        sent_count = fleet.network.sent_count
+        other.quotas.give_back(CUSTOMER, token)
+        assert fleet.network.sent_count == sent_count
+
+    asyncio.run(check())
+
+
 def test_two_instances_share_a_quota_over_datagrams():
     limited = replace(CUSTOMER, requests_per_s=0.01, burst_count=0.0)
 
