Let the successor of a token server grant its first tokens early

Until an unreachable token server was noticed (1 to 1.7 s), local shares refused nearly all requests of small organisations, which have a fraction of a token in each instance; so they did for an organisation that the token server's document lacked. Larger local shares were ruled out: 5 tokens over 94 instances are 0.05 each.

An instance without an answer asks the next candidate, which grants the tokens with which it would start, without a refill, and starts with the rest of them.

--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/quota_bucket.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/quota_bucket.py
@@ -274,6 +274,11 @@
             self._handover_since_ms = None
             self._filled_ms = now_ms
 
+    def allow_takeover(self, quota: Quota, now_ms: float) -> None:
+        """Expect local admissions that were within the limit, as a new bucket does."""
+        self._allowance_count = quota.takeover_count
+        self._allowance_until_ms = now_ms + 2 * TAKEOVER_MS
+
     def handover_age_ms(self, now_ms: float) -> float | None:
         """Return the time since the handover began; None if it has not."""
         if self._handover_since_ms is None:
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/quota_members.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/quota_members.py
@@ -1,5 +1,7 @@
 """Which entry instances share the quotas, and which one is the token server of each."""
 
+import heapq
+
 from cardamomrun_base.clock import Clock
 from cardamomrun_base.hashing import score
 from cardamomrun_base.interfaces import Fleet
@@ -32,7 +34,7 @@
         self._load = load
         self._refreshed_ms = float("-inf")
         self._candidates: dict[str, MemberBody] = {}
-        self._granters: dict[int, MemberBody | None] = {}
+        self._granters: dict[int, list[MemberBody]] = {}
         self.share = FleetShare(1, 1)
         self.changed_ms = clock.now_ms()
         self.change_count = 0
@@ -70,22 +72,35 @@
 
     def granter(self, key: int) -> MemberBody | None:
         """Return the token server of an organisation; None if no instance serves."""
+        return next(iter(self._first_two(key)), None)
+
+    def deputy(self, key: int) -> MemberBody | None:
+        """Return the instance that would replace the token server; None if none does."""
+        first_two = self._first_two(key)
+        return first_two[1] if len(first_two) > 1 else None
+
+    def is_granter(self, key: int) -> bool:
+        """Return True if this instance is the token server of an organisation."""
+        granter = self.granter(key)
+        return granter is not None and granter.instance_id == self._fleet.instance_id
+
+    def is_deputy(self, key: int) -> bool:
+        """Return True if this instance would replace the token server."""
+        deputy = self.deputy(key)
+        return deputy is not None and deputy.instance_id == self._fleet.instance_id
+
+    def _first_two(self, key: int) -> list[MemberBody]:
         if key not in self._granters:
-            self._granters[key] = max(
+            self._granters[key] = heapq.nlargest(
+                2,
                 self._candidates.values(),
                 key=lambda member: (
                     score(str(key), member.instance_id),
                     member.instance_id,
                 ),
-                default=None,
             )
         return self._granters[key]
 
-    def is_granter(self, key: int) -> bool:
-        """Return True if this instance is the token server of an organisation."""
-        granter = self.granter(key)
-        return granter is not None and granter.instance_id == self._fleet.instance_id
-
     def _is_heard(self, member: MemberBody, now_ms: float) -> bool:
         seen_ms = self._load.last_seen_ms(member.instance_id)
         return seen_ms is not None and now_ms - seen_ms <= SILENT_MS
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/quotas.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/quotas.py
@@ -22,6 +22,7 @@
 from cardamomrun_gateway.fleet_load import FleetLoad
 from cardamomrun_gateway.load_reports import LoadReports
 from cardamomrun_gateway.quota_bucket import (
+    LOCAL_SHARE_MS,
     Admitted,
     Denied,
     GrantBucket,
@@ -100,6 +101,8 @@
     key: int
     quota: Quota
     waiting_count: int = 0
+    # Until then the token server is not asked, since the deputy answered instead of it.
+    deputy_until_ms: float = float("-inf")
     task: asyncio.Task[None] | None = None
 
 
@@ -297,7 +300,8 @@
         try:
             for _ in range(QUESTION_ATTEMPTS):
                 granter = self._members.granter(key)
-                if granter is None:
+                is_deputy_asked = self._clock.now_ms() < exchange.deputy_until_ms
+                if granter is None or is_deputy_asked:
                     break
                 asked_ms, asked_wall_ms = self._clock.now_ms(), self._clock.wall_ms()
                 debt_count = min(MAX_BYTE, held.debt_count(asked_ms))
@@ -318,12 +322,41 @@
                 if self._members.is_granter(key):
                     # The next round takes it from the own bucket.
                     return
+            if await self._ask_deputy(exchange):
+                return
             held.add_no_answer(
                 exchange.quota, self._members.share.known_count, self._clock.now_ms()
             )
         finally:
             exchange.task = None
 
+    async def _ask_deputy(self, exchange: _Exchange) -> bool:
+        """Return True if the deputy has granted tokens.
+
+        It grants only those with which it would start as the token server. Local shares
+        refuse most requests of small organisations, which these few tokens serve until
+        the token server is replaced.
+        """
+        held, key = exchange.held, exchange.key
+        deputy = self._members.deputy(key)
+        if deputy is None:
+            return False
+        asked_ms, asked_wall_ms = self._clock.now_ms(), self._clock.wall_ms()
+        wanted_count = min(NOT_GRANTER - 1, max(1, exchange.waiting_count))
+        if self._members.is_deputy(key):
+            result: Lease | Denied | None = self._grant(
+                key, exchange.organisation, wanted_count, 0
+            )
+        else:
+            result = await self._ask(deputy, key, wanted_count, 0)
+        if not isinstance(result, Lease):
+            return False
+        now_ms = self._clock.now_ms()
+        held.add_lease(result, asked_ms, asked_wall_ms, now_ms)
+        if now_ms >= exchange.deputy_until_ms:
+            exchange.deputy_until_ms = now_ms + LOCAL_SHARE_MS
+        return True
+
     async def _ask(
         self, granter: MemberBody, key: int, wanted_count: int, debt_count: int
     ) -> Lease | Denied | None:
@@ -353,7 +386,11 @@
             return
         self._members.refresh(is_forced=not self._members.is_granter(key))
         organisation = self._organisation(key)
-        is_granting = self._members.is_granter(key) or self._is_handing_over(key)
+        is_granting = (
+            self._members.is_granter(key)
+            or self._members.is_deputy(key)
+            or self._is_handing_over(key)
+        )
         if organisation is None or not is_granting:
             count, value_ms, level_count = NOT_GRANTER, 0.0, 0.0
         elif organisation.requests_per_s <= 0.0:
@@ -406,19 +443,26 @@
         now_ms = self._clock.now_ms()
         quota = self._granted_quota(organisation)
         grants = self._grants.get(key)
+        is_granter = self._members.is_granter(key)
         if grants is None:
-            since_ms = max(self._members.changed_ms, self._resumed_ms)
+            since_ms = self._granter_since_ms() if is_granter else now_ms
             bucket = GrantBucket(quota, since_ms, now_ms, self._random)
+            if not is_granter:
+                # The deputy's bucket doesn't refill before it is the token server.
+                bucket.hand_over(quota, now_ms)
             grants = self._grants[key] = _Grants(bucket, now_ms)
         grants.used_ms = now_ms
         result = grants.bucket.take(quota, wanted_count, debt_count, now_ms)
         if isinstance(result, Lease):
             metrics.QUOTA_TOKENS.inc(result.count)
             grants.granted_count += result.count
-        else:
+        elif is_granter:
             self._record_denial(grants, organisation, quota, now_ms)
         return result
 
+    def _granter_since_ms(self) -> float:
+        return max(self._members.changed_ms, self._resumed_ms)
+
     def _granted_quota(self, organisation: Organisation) -> Quota:
         return Quota.of(organisation, self._settings).granted(self._members.share)
 
@@ -441,7 +485,11 @@
             if organisation is None:
                 self._end_grants(key, "removed")
             elif self._members.is_granter(key):
-                grants.bucket.resume(now_ms)
+                age_ms = grants.bucket.handover_age_ms(now_ms)
+                grants.bucket.resume(self._granter_since_ms())
+                if age_ms is not None and age_ms > HANDOVER_MS:
+                    quota = self._granted_quota(organisation)
+                    grants.bucket.allow_takeover(quota, now_ms)
             else:
                 quota = self._granted_quota(organisation)
                 grants.bucket.hand_over(quota, now_ms)
@@ -478,7 +526,11 @@
         for key, grants in list(self._grants.items()):
             age_ms = grants.bucket.handover_age_ms(now_ms)
             if age_ms is not None and age_ms > HANDOVER_MS:
-                self._end_grants(key, "another token server")
+                self._end_over(key, grants, "another token server")
+                # Kept for some time, so that a deputy doesn't start again with tokens
+                # each time it is asked.
+                if now_ms - grants.used_ms > IDLE_MS:
+                    del self._grants[key]
             elif now_ms - grants.denied_ms > OVER_END_MS:
                 self._end_over(key, grants, "no denials")
                 if now_ms - grants.used_ms > IDLE_MS:
--- a/packages/cardamomrun-gateway/tests/datagram_network.py
+++ b/packages/cardamomrun-gateway/tests/datagram_network.py
@@ -2,11 +2,15 @@
 
 
 class Network:
-    """Carries datagrams between instances at once; `is_cut` loses them."""
+    """Carries datagrams between instances at once.
+
+    `is_cut` loses all of them, `lost_addresses` those to some instances.
+    """
 
     def __init__(self):
         self.handlers = {}
         self.is_cut = False
+        self.lost_addresses = set()
         self.sent_count = 0
 
     def port(self, address):
@@ -22,5 +26,6 @@
 
     def send(self, data, address):
         self.network.sent_count += 1
-        if not self.network.is_cut:
+        is_lost = address in self.network.lost_addresses
+        if not self.network.is_cut and not is_lost:
             self.network.handlers[address, data[:1]](data[1:], self.address)
--- a/packages/cardamomrun-gateway/tests/quota_play.py
+++ b/packages/cardamomrun-gateway/tests/quota_play.py
@@ -134,13 +134,16 @@
 
     def _ask(self, at_ms, number, instance, held):
         reached, _ = self._view(instance, at_ms)
-        granter = int(rank(f"org-{number}", map(str, reached))[0])
+        granter, *others = map(int, rank(f"org-{number}", map(str, reached))[:2])
         is_reached = self._part(granter, at_ms) == self._part(instance, at_ms)
         result = None
         debt_count = held.debt_count(at_ms)
         if is_reached:
             wanted_count = held.wanted_count(1, at_ms)
             result = self._grant(at_ms, number, granter, wanted_count, debt_count)
+        if result is None and others:
+            result = self._ask_deputy(at_ms, number, instance, others[0])
+            debt_count = 0
         if result is None:
             held.add_no_answer(self.quotas[number], INSTANCE_COUNT, at_ms)
             return at_ms + NO_ANSWER_MS
@@ -151,13 +154,18 @@
             held.add_denial(result, at_ms)
         return at_ms
 
+    def _ask_deputy(self, at_ms, number, instance, deputy):
+        if self._part(deputy, at_ms) != self._part(instance, at_ms):
+            return None
+        result = self._grant(at_ms, number, deputy, 1, 0)
+        return result if isinstance(result, Lease) else None
+
     def _grant(self, at_ms, number, granter, wanted_count, debt_count):
         reached, since_ms = self._view(granter, at_ms)
-        if (
-            self.token_server(number, set(range(INSTANCE_COUNT)) - {*reached})
-            != granter
-        ):
+        first_two = rank(f"org-{number}", map(str, reached))[:2]
+        if str(granter) not in first_two:
             return None
+        is_deputy = str(granter) != first_two[0]
         share = FleetShare(len(reached), INSTANCE_COUNT)
         quota = self.quotas[number].granted(share)
         bucket, bucket_since_ms = self.buckets.get((granter, number), (None, 0))
@@ -170,8 +178,14 @@
             default=float("-inf"),
         )
         if bucket is None:
-            bucket = GrantBucket(quota, since_ms, at_ms, self.random)
+            bucket_since_ms = at_ms if is_deputy else since_ms
+            bucket = GrantBucket(quota, bucket_since_ms, at_ms, self.random)
         elif bucket_since_ms < woke_ms:
             bucket.restart(quota, woke_ms)
+        if is_deputy:
+            bucket.hand_over(quota, at_ms)
+        elif bucket.handover_age_ms(at_ms) is not None:
+            bucket.resume(at_ms)
+            bucket.allow_takeover(quota, at_ms)
         self.buckets[granter, number] = bucket, at_ms
         return bucket.take(quota, wanted_count, debt_count, at_ms)
--- a/packages/cardamomrun-gateway/tests/test_quotas.py
+++ b/packages/cardamomrun-gateway/tests/test_quotas.py
@@ -158,6 +158,38 @@
     asyncio.run(check())
 
 
+def test_a_deputy_grants_a_few_tokens_until_it_replaces_the_token_server():
+    # Local shares refuse most requests of small organisations.
+    async def check():
+        fleet = Fleet()
+        small = replace(CUSTOMER, requests_per_s=1.0, burst_count=1.0)
+        for instance in fleet.all:
+            instance.put_document(small, number=2)
+        fleet.network.lost_addresses = {fleet.granter.port.address}
+        silent = [fleet.granter.fleet.instance_id]
+        results = [await other.quotas.admit(small) for other in fleet.others * 2]
+        assert results == [Admitted()] * 4
+        fleet.pass_ms(300, silent)
+        leases = [await fleet.others[i % 2].quotas.admit(small) for i in range(12)]
+        assert leases.count(Admitted()) == 1
+        # As the token server it doesn't start with tokens once more.
+        fleet.pass_ms(1_200, silent)
+        leases = [await fleet.others[i % 2].quotas.admit(small) for i in range(12)]
+        assert leases.count(Admitted()) <= 1
+
+    asyncio.run(check())
+
+
+def test_an_organisation_that_the_token_server_does_not_know_yet_gets_tokens():
+    async def check():
+        fleet = Fleet()
+        added = replace(CUSTOMER, requests_per_s=1.0, burst_count=1.0)
+        fleet.granter.put_document(replace(added, name="other"), number=2)
+        assert await fleet.others[0].quotas.admit(added) == Admitted()
+
+    asyncio.run(check())
+
+
 def test_a_silent_token_server_is_replaced_by_one_that_starts_small():
     async def check():
         fleet = Fleet()
