--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/quotas.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/quotas.py
@@ -1,7 +1,8 @@
 """Quotas of organisations, which all entry instances share.
 
 An instance asks the organisation's token server for a lease. Question and answer are a
-datagram each, and either may be lost. Tokens whose answer is lost count as used.
+datagram each, and either may be lost. Tokens whose answer is lost count as used. Another
+datagram gives back the token of a request that was not sent.
 """
 
 import asyncio
@@ -21,6 +22,7 @@
 from cardamomrun_gateway.fleet_load import FleetLoad
 from cardamomrun_gateway.load_reports import LoadReports
 from cardamomrun_gateway.quota_bucket import (
+    LOCAL_SHARE_MS,
     Admitted,
     Denied,
     GrantBucket,
@@ -31,7 +33,7 @@
     Quota,
 )
 from cardamomrun_gateway.quota_members import QuotaMembers
-from cardamomrun_gateway.refusals import refusal
+from cardamomrun_gateway.refusals import RequestFailedError, refusal
 from cardamomrun_gateway.report_relays import Address, address_of
 from cardamomrun_gateway.routed_request import RoutedRequest
 from cardamomrun_gateway.table import RoutingTable
@@ -43,11 +45,14 @@
 # no answer.
 ASK = b"\x0f"
 ANSWER = b"\x10"
+RETURN = b"\x11"
 # Number, key of the organisation, tokens wanted, tokens used without a lease.
 QUESTION_FORMAT = struct.Struct("!HQBB")
 # Number, tokens granted, time until they are free or the next one is, level of the
 # bucket.
 ANSWER_FORMAT = struct.Struct("!HBHH")
+# Key of the organisation, tokens that were not used.
+RETURN_FORMAT = struct.Struct("!QB")
 NUMBER_COUNT = 1 << 16
 MAX_BYTE = 255
 MAX_SHORT = 65_535
@@ -78,6 +83,12 @@
 OVER_END_MS = 5_000.0
 NO_ANSWER_LOG_MS = 1_000.0
 
+# Looked up once: each lookup of labels costs more than the decision.
+DECISIONS = {
+    label: metrics.QUOTA_DECISIONS.labels(label)
+    for label in ("refused", "local-share", "lease")
+}
+
 _log = ComponentLog("quotas")
 
 
@@ -86,7 +97,12 @@
     """One organisation on an instance, and the question in flight, if any."""
 
     held: InstanceQuota
+    organisation: Organisation
+    key: int
+    quota: Quota
     waiting_count: int = 0
+    # Until then the token server is not asked, since the deputy answered instead of it.
+    deputy_until_ms: float = float("-inf")
     task: asyncio.Task[None] | None = None
 
 
@@ -127,7 +143,8 @@
         self._member_change_count = 0
         self._numbers = itertools.count(self._random.randrange(NUMBER_COUNT))
         self._pending: dict[int, asyncio.Future[Lease | Denied | None]] = {}
-        self._exchanges: dict[int, _Exchange] = {}
+        # By name.
+        self._exchanges: dict[str, _Exchange] = {}
         self._grants: dict[int, _Grants] = {}
         self._tasks = BackgroundTasks()
         self._pauses = PauseDetector(clock.now_ms(), clock.wall_ms())
@@ -137,12 +154,14 @@
         self._organisations: dict[int, Organisation] = {}
         reports.add_handler(ASK, self._on_ask)
         reports.add_handler(ANSWER, self._on_answer)
+        reports.add_handler(RETURN, self._on_return)
 
     def update_settings(self, settings: GatewaySettings) -> None:
         """Replace the window and the tolerances of all quotas."""
         self._settings = settings
         for exchange in self._exchanges.values():
             exchange.held.settings = settings
+            exchange.quota = Quota.of(exchange.organisation, settings)
 
     async def run(self) -> None:
         """Call `tick` regularly, until cancelled."""
@@ -159,24 +178,54 @@
         self._members.refresh()
         self._forget_idle()
 
-    async def check(self, routed: RoutedRequest, *, is_relayed: bool) -> None:
+    def check_denial(self, routed: RoutedRequest, *, is_relayed: bool) -> None:
+        """Raise `RequestFailedError` if it is known that there is no token."""
+        organisation = _limited_organisation(routed, is_relayed=is_relayed)
+        if organisation is None:
+            return
+        exchange = self._exchanges.get(organisation.name)
+        if exchange is None or exchange.organisation is not organisation:
+            return
+        result = exchange.held.refusal_if_denied(
+            exchange.quota, self._members.share.known_count, self._clock.now_ms()
+        )
+        if result is not None:
+            DECISIONS[_decision_label(result)].inc()
+            raise _over_quota_error(routed, result)
+
+    async def check(
+        self, routed: RoutedRequest, *, is_relayed: bool
+    ) -> Admitted | None:
         """Take a token for a request; raise `RequestFailedError` if there is none.
 
-        Requests of public routes need none. For a relayed one, the instance that asks
-        has taken it.
+        Returns None for a request that needs none. For a relayed one, the instance that
+        asks has taken it.
         """
-        organisation = routed.organisation
-        if organisation is None or routed.route.is_public or is_relayed:
-            return
+        organisation = _limited_organisation(routed, is_relayed=is_relayed)
+        if organisation is None:
+            return None
         result = await self.admit(organisation)
         if isinstance(result, OverQuota):
-            metrics.REFUSALS.labels(routed.service, "over-quota").inc()
-            raise refusal(
-                "over-quota",
-                "The organisation is over its quota.",
-                result.retry_after_ms / MS_PER_S,
-                status=429,
-            )
+            raise _over_quota_error(routed, result)
+        return result
+
+    def give_back(self, organisation: Organisation, admitted: Admitted) -> None:
+        """Take back the token of a request of which no server received anything.
+
+        To be called at most once for each token.
+        """
+        exchange = self._exchanges.get(organisation.name)
+        if exchange is None:
+            return
+        now_ms, wall_ms = self._clock.now_ms(), self._clock.wall_ms()
+        if not exchange.held.give_back(admitted, now_ms, wall_ms):
+            return
+        granter = self._members.granter(exchange.key)
+        if self._members.is_granter(exchange.key):
+            self._add_returned(exchange.key, 1)
+        elif granter is not None:
+            body = RETURN_FORMAT.pack(exchange.key, 1)
+            self._reports.send(RETURN + body, address_of(granter.peer_address))
 
     async def admit(self, organisation: Organisation) -> Admitted | OverQuota:
         """Take a token for one request; waits shortly if one becomes free."""
@@ -185,70 +234,74 @@
         self._note_time()
         self._members.refresh()
         result = await self._decide(organisation)
-        metrics.QUOTA_DECISIONS.labels(_decision_label(result)).inc()
+        DECISIONS[_decision_label(result)].inc()
         if isinstance(result, Admitted) and result.delay_ms > 0.0:
             await self._clock.sleep_ms(result.delay_ms)
         return result
 
     async def _decide(self, organisation: Organisation) -> Admitted | OverQuota:
-        key = organisation_key(organisation.name)
-        quota = Quota.of(organisation, self._settings)
-        now_ms = self._clock.now_ms()
-        exchange = self._exchanges.get(key)
-        if exchange is None:
-            held = InstanceQuota(self._settings, now_ms, self._random)
-            exchange = self._exchanges[key] = _Exchange(held)
+        exchange = self._exchange(organisation)
         held = exchange.held
-        held.count_request(now_ms)
+        held.count_request(self._clock.now_ms())
         for _ in range(MAX_ROUNDS):
             result = held.decide(
-                quota,
+                exchange.quota,
                 self._members.share.known_count,
                 self._clock.now_ms(),
                 self._clock.wall_ms(),
             )
             if result is not None:
                 return result
-            await self._wait_for_lease(exchange, organisation, key, quota)
+            await self._wait_for_lease(exchange)
         return held.use_local_share(
-            quota, self._members.share.known_count, self._clock.now_ms()
+            exchange.quota, self._members.share.known_count, self._clock.now_ms()
         )
 
-    async def _wait_for_lease(
-        self, exchange: _Exchange, organisation: Organisation, key: int, quota: Quota
-    ) -> None:
-        if self._members.is_granter(key):
-            self._take_own(exchange, organisation, key)
+    def _exchange(self, organisation: Organisation) -> _Exchange:
+        exchange = self._exchanges.get(organisation.name)
+        if exchange is None:
+            now_ms = self._clock.now_ms()
+            exchange = self._exchanges[organisation.name] = _Exchange(
+                InstanceQuota(self._settings, now_ms, self._random),
+                organisation,
+                organisation_key(organisation.name),
+                Quota.of(organisation, self._settings),
+            )
+        elif exchange.organisation is not organisation:
+            exchange.organisation = organisation
+            exchange.quota = Quota.of(organisation, self._settings)
+        return exchange
+
+    async def _wait_for_lease(self, exchange: _Exchange) -> None:
+        if self._members.is_granter(exchange.key):
+            self._take_own(exchange)
             return
         exchange.waiting_count += 1
         try:
             if exchange.task is None:
                 # A task of its own: the request that began it may be cancelled.
-                exchange.task = self._tasks.spawn(
-                    self._renew_lease(exchange, key, quota)
-                )
+                exchange.task = self._tasks.spawn(self._renew_lease(exchange))
             await asyncio.shield(exchange.task)
         finally:
             exchange.waiting_count -= 1
 
-    def _take_own(
-        self, exchange: _Exchange, organisation: Organisation, key: int
-    ) -> None:
+    def _take_own(self, exchange: _Exchange) -> None:
         held, now_ms = exchange.held, self._clock.now_ms()
         debt_count = held.debt_count(now_ms)
         held.settle_debt(debt_count)
-        result = self._grant(key, organisation, 1, debt_count)
+        result = self._grant(exchange.key, exchange.organisation, 1, debt_count)
         if isinstance(result, Lease):
             held.add_lease(result, now_ms, self._clock.wall_ms(), now_ms)
         else:
             held.add_denial(result, now_ms)
 
-    async def _renew_lease(self, exchange: _Exchange, key: int, quota: Quota) -> None:
-        held = exchange.held
+    async def _renew_lease(self, exchange: _Exchange) -> None:
+        held, key = exchange.held, exchange.key
         try:
             for _ in range(QUESTION_ATTEMPTS):
                 granter = self._members.granter(key)
-                if granter is None:
+                is_deputy_asked = self._clock.now_ms() < exchange.deputy_until_ms
+                if granter is None or is_deputy_asked:
                     break
                 asked_ms, asked_wall_ms = self._clock.now_ms(), self._clock.wall_ms()
                 debt_count = min(MAX_BYTE, held.debt_count(asked_ms))
@@ -269,12 +322,41 @@
                 if self._members.is_granter(key):
                     # The next round takes it from the own bucket.
                     return
+            if await self._ask_deputy(exchange):
+                return
             held.add_no_answer(
-                quota, self._members.share.known_count, self._clock.now_ms()
+                exchange.quota, self._members.share.known_count, self._clock.now_ms()
             )
         finally:
             exchange.task = None
 
+    async def _ask_deputy(self, exchange: _Exchange) -> bool:
+        """Return True if the deputy has granted tokens.
+
+        It grants only those with which it would start as the token server. Local shares
+        refuse most requests of small organisations, which these few tokens serve until
+        the token server is replaced.
+        """
+        held, key = exchange.held, exchange.key
+        deputy = self._members.deputy(key)
+        if deputy is None:
+            return False
+        asked_ms, asked_wall_ms = self._clock.now_ms(), self._clock.wall_ms()
+        wanted_count = min(NOT_GRANTER - 1, max(1, exchange.waiting_count))
+        if self._members.is_deputy(key):
+            result: Lease | Denied | None = self._grant(
+                key, exchange.organisation, wanted_count, 0
+            )
+        else:
+            result = await self._ask(deputy, key, wanted_count, 0)
+        if not isinstance(result, Lease):
+            return False
+        now_ms = self._clock.now_ms()
+        held.add_lease(result, asked_ms, asked_wall_ms, now_ms)
+        if now_ms >= exchange.deputy_until_ms:
+            exchange.deputy_until_ms = now_ms + LOCAL_SHARE_MS
+        return True
+
     async def _ask(
         self, granter: MemberBody, key: int, wanted_count: int, debt_count: int
     ) -> Lease | Denied | None:
@@ -304,7 +386,11 @@
             return
         self._members.refresh(is_forced=not self._members.is_granter(key))
         organisation = self._organisation(key)
-        is_granting = self._members.is_granter(key) or self._is_handing_over(key)
+        is_granting = (
+            self._members.is_granter(key)
+            or self._members.is_deputy(key)
+            or self._is_handing_over(key)
+        )
         if organisation is None or not is_granting:
             count, value_ms, level_count = NOT_GRANTER, 0.0, 0.0
         elif organisation.requests_per_s <= 0.0:
@@ -337,6 +423,18 @@
         else:
             pending.set_result(Denied(value * TIME_UNIT_MS))
 
+    def _on_return(self, body: bytes, sender: Address) -> None:
+        key, count = _unpack(RETURN_FORMAT, body)
+        self._note_time()
+        if self._clock.now_ms() - self._resumed_ms >= OLD_QUESTIONS_MS:
+            self._add_returned(key, count)
+
+    def _add_returned(self, key: int, count: int) -> None:
+        """Put tokens back into a bucket, if this instance has it."""
+        grants, organisation = self._grants.get(key), self._organisation(key)
+        if grants is not None and organisation is not None:
+            grants.bucket.give_back(self._granted_quota(organisation), count)
+
     def _grant(
         self, key: int, organisation: Organisation, wanted_count: int, debt_count: int
     ) -> Lease | Denied:
@@ -345,19 +443,26 @@
         now_ms = self._clock.now_ms()
         quota = self._granted_quota(organisation)
         grants = self._grants.get(key)
+        is_granter = self._members.is_granter(key)
         if grants is None:
-            since_ms = max(self._members.changed_ms, self._resumed_ms)
+            since_ms = self._granter_since_ms() if is_granter else now_ms
             bucket = GrantBucket(quota, since_ms, now_ms, self._random)
+            if not is_granter:
+                # The deputy's bucket doesn't refill before it is the token server.
+                bucket.hand_over(quota, now_ms)
             grants = self._grants[key] = _Grants(bucket, now_ms)
         grants.used_ms = now_ms
         result = grants.bucket.take(quota, wanted_count, debt_count, now_ms)
         if isinstance(result, Lease):
             metrics.QUOTA_TOKENS.inc(result.count)
             grants.granted_count += result.count
-        else:
+        elif is_granter:
             self._record_denial(grants, organisation, quota, now_ms)
         return result
 
+    def _granter_since_ms(self) -> float:
+        return max(self._members.changed_ms, self._resumed_ms)
+
     def _granted_quota(self, organisation: Organisation) -> Quota:
         return Quota.of(organisation, self._settings).granted(self._members.share)
 
@@ -380,7 +485,11 @@
             if organisation is None:
                 self._end_grants(key, "removed")
             elif self._members.is_granter(key):
-                grants.bucket.resume(now_ms)
+                age_ms = grants.bucket.handover_age_ms(now_ms)
+                grants.bucket.resume(self._granter_since_ms())
+                if age_ms is not None and age_ms > HANDOVER_MS:
+                    quota = self._granted_quota(organisation)
+                    grants.bucket.allow_takeover(quota, now_ms)
             else:
                 quota = self._granted_quota(organisation)
                 grants.bucket.hand_over(quota, now_ms)
@@ -410,14 +519,18 @@
 
     def _forget_idle(self) -> None:
         now_ms = self._clock.now_ms()
-        for key, exchange in list(self._exchanges.items()):
+        for name, exchange in list(self._exchanges.items()):
             is_idle = exchange.task is None and not exchange.waiting_count
             if is_idle and now_ms - exchange.held.used_ms > IDLE_MS:
-                del self._exchanges[key]
+                del self._exchanges[name]
         for key, grants in list(self._grants.items()):
             age_ms = grants.bucket.handover_age_ms(now_ms)
             if age_ms is not None and age_ms > HANDOVER_MS:
-                self._end_grants(key, "another token server")
+                self._end_over(key, grants, "another token server")
+                # Kept for some time, so that a deputy doesn't start again with tokens
+                # each time it is asked.
+                if now_ms - grants.used_ms > IDLE_MS:
+                    del self._grants[key]
             elif now_ms - grants.denied_ms > OVER_END_MS:
                 self._end_over(key, grants, "no denials")
                 if now_ms - grants.used_ms > IDLE_MS:
@@ -481,6 +594,25 @@
     return score("organisation", name)
 
 
+def _limited_organisation(
+    routed: RoutedRequest, *, is_relayed: bool
+) -> Organisation | None:
+    """Return the organisation whose token a request needs, if any."""
+    if routed.route.is_public or is_relayed:
+        return None
+    return routed.organisation
+
+
+def _over_quota_error(routed: RoutedRequest, result: OverQuota) -> RequestFailedError:
+    metrics.REFUSALS.labels(routed.service, "over-quota").inc()
+    return refusal(
+        "over-quota",
+        "The organisation is over its quota.",
+        result.retry_after_ms / MS_PER_S,
+        status=429,
+    )
+
+
 def _unpack(layout: struct.Struct, body: bytes) -> tuple:
     try:
         return layout.unpack(body)
