Try suspected servers sooner while a service without idempotent requests is below its floor

At any time three in ten servers fail most requests for up to 9 s, a reset makes a server suspected, and without idempotent requests it waited 12 s for its trial: 64 of 98 servers were suspected then (log of one instance).

Ruled out: lost paths (the resets were seen by 52 instances), the delayed refresh of servers in other domains. While fewer servers are trusted than the floor demands, the wait is 6 s.

--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/placement.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/placement.py
@@ -50,6 +50,10 @@
 # A service without idempotent requests gets its trials from other requests, which are
 # lost if the trial fails, so the first one waits this much longer and later ones more.
 NON_IDEMPOTENT_TRIAL_MS = 12_000.0
+# The same while fewer servers are trusted than the floor demands. Failures of a few
+# seconds that come to different servers in turn would otherwise add up until most of the
+# service is suspected, though most of it is well.
+FLOOR_TRIAL_MS = 6_000.0
 BYTES_PER_KB = 1_024
 # Requests of this rank and below are urgent: they may reserve permits of servers that
 # state a limit.
@@ -146,7 +150,10 @@
         known_count = len(servers)
         trusted_count = sum(not server.health.is_suspected for server in servers)
         servers = [s for s in servers if _may_ask(s, criteria, now_ms)]
-        trial = self._due_trial(servers, criteria, now_ms)
+        is_below_floor = trusted_count < math.ceil(known_count * self._floor_ratio)
+        trial = self._due_trial(
+            servers, criteria, now_ms, is_below_floor=is_below_floor
+        )
         if trial is not None:
             return Choice(trial, ChoiceReason.TRIAL)
         trusted = [server for server in servers if not server.health.is_suspected]
@@ -300,7 +307,12 @@
         return any(True for _ in self._load.servers_of(service))
 
     def _due_trial(
-        self, servers: Iterable[Server], criteria: PlacementCriteria, now_ms: float
+        self,
+        servers: Iterable[Server],
+        criteria: PlacementCriteria,
+        now_ms: float,
+        *,
+        is_below_floor: bool,
     ) -> Server | None:
         """Return the idle suspected server whose trial has been due longest, if any."""
         if not criteria.may_be_trial:
@@ -310,7 +322,9 @@
             for server in servers
             if server.health.is_suspected
             and server.in_flight_count == 0
-            and self._is_trial_due(server, criteria, now_ms)
+            and self._is_trial_due(
+                server, criteria, now_ms, is_below_floor=is_below_floor
+            )
         ]
         if not due:
             return None
@@ -371,7 +385,12 @@
         return max(due, key=lambda server: server.health.suspected_for_ms(now_ms))
 
     def _is_trial_due(
-        self, server: Server, criteria: PlacementCriteria, now_ms: float
+        self,
+        server: Server,
+        criteria: PlacementCriteria,
+        now_ms: float,
+        *,
+        is_below_floor: bool,
     ) -> bool:
         health = server.health
         if criteria.is_idempotent:
@@ -385,7 +404,8 @@
         pause_ratio = health.trial_pause_ms / TRIAL_FIRST_MS
         if health.good_streak:
             return now_ms >= health.trial_due_ms
-        return now_ms >= health.trial_due_ms + NON_IDEMPOTENT_TRIAL_MS * pause_ratio
+        wait_ms = FLOOR_TRIAL_MS if is_below_floor else NON_IDEMPOTENT_TRIAL_MS
+        return now_ms >= health.trial_due_ms + wait_ms * pause_ratio
 
     def _cheapest(
         self, servers: list[Server], criteria: PlacementCriteria, now_ms: float
--- a/packages/cardamomrun-gateway/tests/test_placement.py
+++ b/packages/cardamomrun-gateway/tests/test_placement.py
@@ -6,12 +6,13 @@
 from cardamomrun_base.clock import ManualClock
 from cardamomrun_gateway.fleet_load import FleetLoad
 from cardamomrun_gateway.placement import (
+    FLOOR_TRIAL_MS,
     REFRESH_MS,
     REMOTE_REFRESH_DELAY_MS,
     ChoiceReason,
     Placement,
 )
-from cardamomrun_gateway.server_health import AttemptEnd
+from cardamomrun_gateway.server_health import TRIAL_FIRST_MS, AttemptEnd
 
 from .builders import FakeStore, criteria, server_body, server_record
 from .load_play import FLOOR_RATIO, simulate
@@ -113,6 +114,22 @@
     assert fixture.choose(**non_idempotent) == ("b1", ChoiceReason.TRIAL)
 
 
+@pytest.mark.parametrize("suspected_count", [2, 4])
+def test_below_the_floor_a_service_without_idempotent_requests_gets_trials_soon(
+    suspected_count,
+):
+    """Guards against failures in turn that leave most sound servers without requests."""
+    fixture = PlacementFixture(*(server_body(f"b{i}") for i in range(10)))
+    for index in range(10):
+        fixture.mark_accepted(f"b{index}")
+    for index in range(suspected_count):
+        fixture.suspect(f"b{index}")
+    fixture.clock.advance_ms(TRIAL_FIRST_MS + FLOOR_TRIAL_MS + 1.0)
+    unsafe = {"is_idempotent": False, "has_idempotent_traffic": False}
+    is_below_floor = 10 - suspected_count < 7
+    assert (fixture.choose(**unsafe)[1] is ChoiceReason.TRIAL) == is_below_floor
+
+
 def test_without_idempotent_requests_a_trial_precedes_refusals():
     """Guards against refusals while servers are suspected although all work."""
     fixture = PlacementFixture(server_body("b1"), server_body("b2"))
