Match API keys beyond ASCII

A document accepts such a key, and the header, which is read as Latin-1, never matched it. The key is decoded as UTF-8, as names are.

--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/organisations.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/organisations.py
@@ -18,8 +18,8 @@
     "OrganisationIndex",
     "combined_rank",
     "identify",
-    "name_of_header",
-    "name_to_header",
+    "decode_header_text",
+    "encode_header_text",
 ]
 
 KEY_SCHEME = "bearer"
@@ -131,13 +131,13 @@
     return organisation.rank * RANK_SPACING + route_rank
 
 
-def name_to_header(name: str) -> str:
-    """Return a name as a header value, which HTTP sends as Latin-1: UTF-8 bytes."""
-    return name.encode().decode("latin1")
+def encode_header_text(text: str) -> str:
+    """Return a text as a header value, which HTTP sends as Latin-1: UTF-8 bytes."""
+    return text.encode().decode("latin1")
 
 
-def name_of_header(value: str) -> str:
-    """Return the name in a header value that `name_to_header` made."""
+def decode_header_text(value: str) -> str:
+    """Return the text in a header value that was sent as UTF-8."""
     return value.encode("latin1", "replace").decode(errors="replace")
 
 
@@ -150,10 +150,10 @@
     hop_names = headers.get("Connection", "").lower().split(",")
     if names.RELAYED_ORGANISATION.lower() not in {name.strip() for name in hop_names}:
         return ""
-    return name_of_header(headers.get(names.RELAYED_ORGANISATION, ""))
+    return decode_header_text(headers.get(names.RELAYED_ORGANISATION, ""))
 
 
 def _bearer_key(headers: HTTPHeaders) -> str:
     """Return the key in `Authorization: Bearer KEY`, or an empty string."""
     scheme, _, key = headers.get(names.AUTHORIZATION, "").strip().partition(" ")
-    return key.strip() if scheme.lower() == KEY_SCHEME else ""
+    return decode_header_text(key.strip()) if scheme.lower() == KEY_SCHEME else ""
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/request_relay.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/request_relay.py
@@ -12,7 +12,7 @@
 from cardamomrun_fleet.traffic import TrafficMeter
 from cardamomrun_gateway import metrics
 from cardamomrun_gateway.held_body import HeldBody
-from cardamomrun_gateway.organisations import name_to_header
+from cardamomrun_gateway.organisations import encode_header_text
 from cardamomrun_gateway.paths import PeerPaths
 from cardamomrun_gateway.routed_request import RoutedRequest
 from cardamomrun_gateway.server_attempt import (
@@ -148,7 +148,7 @@
         hop_names = [names.RELAYED_FOR, names.RELAYED_BY]
         organisation = self._routed.organisation
         if organisation is not None:
-            headers[names.RELAYED_ORGANISATION] = name_to_header(organisation.name)
+            headers[names.RELAYED_ORGANISATION] = encode_header_text(organisation.name)
             hop_names.append(names.RELAYED_ORGANISATION)
         # Named here, headers end at the other instance.
         headers["Connection"] = ", ".join(("close", *hop_names))
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/routed_request.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/routed_request.py
@@ -8,7 +8,7 @@
 from cardamomrun_base.clock import Clock
 from cardamomrun_base.headers import GatewayHeaders
 from cardamomrun_base.routing_document import Organisation, RoutingRoute
-from cardamomrun_gateway.organisations import combined_rank, name_to_header
+from cardamomrun_gateway.organisations import combined_rank, encode_header_text
 from cardamomrun_requests.framing import end_to_end_headers
 from cardamomrun_requests.request import ClientRequest
 
@@ -128,7 +128,7 @@
             _remove(headers, names.AUTHORIZATION)
             _remove(headers, header_names.organisation)
         if self.organisation is not None:
-            name = name_to_header(self.organisation.name)
+            name = encode_header_text(self.organisation.name)
             headers[header_names.organisation] = name
         headers[header_names.deadline_ms] = str(max(1, int(remaining_ms)))
         length = self.request.body.length
--- a/packages/cardamomrun-gateway/tests/test_organisations.py
+++ b/packages/cardamomrun-gateway/tests/test_organisations.py
@@ -68,6 +68,15 @@
     )
 
 
+def test_a_key_beyond_ascii_is_found():
+    """Guards against keys that a document accepts and no request can match."""
+    organisation = Organisation("yefi830", ("clé",))
+    sent = "Bearer clé".encode().decode("latin1")
+    assert decide({"Authorization": sent}, organisations=(organisation,)) == (
+        Identified(organisation)
+    )
+
+
 RELAYED_NAME = {HOP: "yefi830", "connection": f"close, {HOP}"}
 KNOWN = Identified(ORGANISATION)
 NOBODY = Identified(None)
