Take a service's idempotent traffic from its requests instead of its routes

Letting all services' other requests be trials below the floor was tried in and failed test_clients_are_served_while_servers_are_faulty_in_turn in two loads, so it is reverted here.

Each instance keeps a running share of idempotent requests by service; below 0.08 the service counts as one without.

--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/dispatch.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/dispatch.py
@@ -1,7 +1,7 @@
 """Runs one routed request from its head to the end of its response, in one task."""
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from tornado.iostream import StreamClosedError
 
@@ -31,6 +31,7 @@
     refusal,
 )
 from cardamomrun_gateway.request_admission import RequestAdmission
+from cardamomrun_gateway.request_mix import RequestMix
 from cardamomrun_gateway.request_relay import (
     LEAVING_KIND,
     PATHS_LOST_KIND,
@@ -90,6 +91,7 @@
     refusals: Refusals
     hedging: Hedging
     quotas: Quotas
+    request_mix: RequestMix = field(default_factory=RequestMix)
 
 
 class RequestDispatch:
@@ -155,6 +157,9 @@
                 self._request, arrived_ms, is_relayed=self._is_relayed
             )
             self._service = routed.service
+            self._tools.request_mix.record(
+                self._service, is_idempotent=routed.is_idempotent
+            )
             if routed.is_idempotent:
                 self._tools.hedging.count_request()
             self._check_shutdown(routed)
@@ -524,7 +529,8 @@
             expected_ms=self._tools.attempt_tools.route_times.expected_ms(routed.route),
             is_retryable=self._has_retry_left(routed),
             may_be_trial=may_be_trial,
-            has_idempotent_traffic=self._service in table.idempotent_services,
+            has_idempotent_traffic=self._service in table.idempotent_services
+            and self._tools.request_mix.has_idempotent(self._service),
             excluded=frozenset(self._tried_server_ids),
             max_wait_ms=max_wait_ms,
         )
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/placement.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/placement.py
@@ -50,7 +50,7 @@
 # A service without idempotent requests gets its trials from other requests, which are
 # lost if the trial fails, so the first one waits this much longer and later ones more.
 NON_IDEMPOTENT_TRIAL_MS = 12_000.0
-# The same while fewer servers are trusted than the floor demands, for all services.
+# The same while fewer servers are trusted than the floor demands.
 # Failures of a few seconds that come to different servers in turn would otherwise add up
 # until most of the service is suspected, though most of it is well.
 FLOOR_TRIAL_MS = 6_000.0
@@ -398,9 +398,7 @@
             if server.body.failure_domain != self._failure_domain:
                 due_ms += REMOTE_TRIAL_DELAY_MS
             return now_ms >= due_ms
-        # An idempotent route may have next to no requests, so below the floor its service
-        # can't wait for their trials.
-        if criteria.has_idempotent_traffic and not is_below_floor:
+        if criteria.has_idempotent_traffic:
             return False
         # The delay is scaled by the pause, which grows with each failed trial.
         pause_ratio = health.trial_pause_ms / TRIAL_FIRST_MS
