--- a/review/stand_ins_2/fleet.py
+++ b/review/stand_ins_2/fleet.py
@@ -53,9 +53,10 @@
         self._role = deploy["roles"][role]
         self._role_name = role
         self._folder = folder
-        self._zone = zone
+        self.zone = zone
         self._seeds = seeds
         self.ip = ip
+        self.is_gone = False
         self.log = folder / f"{ip}.log"
         self.process: subprocess.Popen[bytes] | None = None
 
@@ -81,11 +82,22 @@
                 stderr=log,
             )
 
+    @property
+    def is_running(self) -> bool:
+        """True while the process has not ended and the machine has power."""
+        is_alive = self.process is not None and self.process.poll() is None
+        return is_alive and not self.is_gone
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process."""
         if self.process is not None and self.process.poll() is None:
             self.process.send_signal(number)
 
+    def remove(self) -> None:
+        """Take the machine away for good: it answers nothing, and resets nothing."""
+        self.signal(signal.SIGSTOP)
+        self.is_gone = True
+
     def kill(self) -> None:
         """Kill the process and wait for its end."""
         if self.process is not None:
@@ -106,7 +118,7 @@
             "machine_class": self._role["on"],
             "serves": serves,
             "ip": ip,
-            "zone": self._zone,
+            "zone": self.zone,
             "region": "pk-south",
             "zones": dict.fromkeys(ZONES, "pk-south"),
             "listen": listen,
@@ -137,12 +149,16 @@
 class Machines:
     """The machines of one run, in a temporary folder that is removed at the end."""
 
-    def __init__(self, core_count: int, edge_count: int) -> None:
+    def __init__(
+        self, core_count: int, edge_count: int, first_core_number: int = 1
+    ) -> None:
         self._folder = tempfile.TemporaryDirectory(prefix="cardamomrun-review-")
         self.folder = folder = Path(self._folder.name)
         self.network = network = free_network()
-        core_ips = [f"{network}.{n}" for n in range(1, core_count + 1)]
-        edge_ips = [f"{network}.{n}" for n in range(101, 101 + edge_count)]
+        self._next_core_number = first_core_number + core_count
+        core_numbers = range(first_core_number, self._next_core_number)
+        core_ips = [f"{network}.{n}" for n in core_numbers]
+        edge_ips = [f"{network}.{n}" for n in range(181, 181 + edge_count)]
         self.seeds = [f"{ip}:{CONTROL_PORT}" for ip in core_ips[:3]]
         self.core = [
             Machine(folder, "control", ip, ZONES[n % 3], self.seeds)
@@ -160,8 +176,23 @@
 
     @property
     def control_addresses(self) -> list[str]:
-        """The addresses that targets and the operator call."""
-        return [f"{machine.ip}:{CONTROL_PORT}" for machine in self.core]
+        """The addresses that targets and the operator call: those that run."""
+        running = [machine for machine in self.core if machine.is_running]
+        return [f"{machine.ip}:{CONTROL_PORT}" for machine in running]
+
+    def add_core(self, zone: str) -> Machine:
+        """Add and start a core machine, with an empty disk and at a new address.
+
+        Its seeds are three core machines that run now.
+        """
+        running = [machine for machine in self.core if machine.is_running]
+        seeds = [f"{machine.ip}:{CONTROL_PORT}" for machine in running[:3]]
+        ip = f"{self.network}.{self._next_core_number}"
+        self._next_core_number += 1
+        added = Machine(self.folder, "control", ip, zone, seeds)
+        added.start(bootstrap=False)
+        self.core.append(added)
+        return added
 
     def start(self) -> None:
         """Start the whole system for the first time, with empty disks."""
