--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,6 +1,7 @@
-"""One control process is killed while the whole system starts for the first time."""
+"""Machines of the core are replaced two at a time, in the order of their addresses."""
 
 import asyncio
+import json
 import os
 import signal
 import sys
@@ -10,102 +11,61 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "stand_ins_2"))
 
-from callers import Operator, Record, Target, call, manifest  # noqa: E402
-from fleet import FRONT_PORT, Machines  # noqa: E402
+from callers import Operator, Record, manifest  # noqa: E402
+from fleet import Machines  # noqa: E402
 
-HOST, SERVICE = "ficu95.example", "huvo11a"
+SERVICE = "huvo11a"
+CORE_COUNT, TOLERATED_COUNT, STEP_COUNT = 11, 2, 2
+# `catch_up_s` of the site, and a little more.
+CATCH_UP_S = 6.05
 # After the start of the machines, in seconds.
-KILL_S, RESTART_S, MANIFEST_S, TRAFFIC_S, END_S = 0.8, 1.8, 5.0, 10.0, 60.0
+FIRST_REMOVAL_S, READ_S, END_S = 18.0, 55.0, 85.0
 ROUTE = {
-    "name": "r-x73d3zj", "host": HOST, "path_prefix": "/lohu930/",
+    "name": "r-x73d3zj", "host": "ficu95.example", "path_prefix": "/lohu930/",
     "route_type": "safe", "timeout_ms": 2000, "slo_latency_ms": 1200, "priority": 2,
     "service": SERVICE, "max_attempts": 2,
 }  # fmt: skip
 
 
-async def answer(target, first, headers, body, reader, writer) -> bool:
-    """Run each request for 50 ms and answer it."""
-    request_id = headers.get("cardamomrun-attempt-id", "")
-    target.run(request_id, first)
-    await asyncio.sleep(0.05)
-    writer.write(
-        f"HTTP/1.1 200 OK\r\nCardamomrun-Attempt-Id: {request_id}\r\n"
-        "Cardamomrun-Response-Seal: 3e1b.07\r\nContent-Length: 2\r\n\r\nok".encode()
-    )
-    await writer.drain()
-    return True
-
-
-async def send_requests(machines: Machines, record: Record, end_s: float) -> int:
-    """Send four requests a second to the edge machines; return how many succeeded."""
-    served = number = 0
-    while time.monotonic() < end_s:
-        number += 1
-        edge = machines.edge[number % len(machines.edge)]
-        headers = {
-            "Host": HOST,
-            "Cardamomrun-Attempt-Id": f"a-{number}",
-            "Cardamomrun-Deadline-Ms": "2000",
-        }
-        address = f"{edge.ip}:{FRONT_PORT}"
-        result = await call(address, "GET", "/lohu930/2f", headers, timeout_s=2.0)
-        status = None if result is None else result[0]
-        record.line(f"requester: a-{number} at {edge.ip}: {status}")
-        served += status == 200
-        await asyncio.sleep(0.25)
-    return served
+async def replace_machines(machines: Machines, record: Record) -> None:
+    """Add two machines in place of two, and go on once those have had their time."""
+    for step in range(STEP_COUNT):
+        first = step * TOLERATED_COUNT
+        victims = machines.core[first : first + TOLERATED_COUNT]
+        for victim in victims:
+            victim.remove()
+            record.line(f"platform: {victim.ip} is removed for good")
+        for victim in victims:
+            added = machines.add_core(victim.zone)
+            record.line(f"platform: {added.ip} is added, with an empty disk")
+        await asyncio.sleep(CATCH_UP_S)
 
 
 async def play(has_trouble: bool) -> int:
     """Play the case; return the exit code."""
     record = Record(FOLDER / "record.txt")
-    machines = Machines(core_count=5, edge_count=2)
-    targets = []
+    # Addresses of equal length, so that they have one order.
+    machines = Machines(CORE_COUNT, edge_count=2, first_core_number=101)
     try:
         start_s = time.monotonic()
         machines.start()
+        operator = Operator(machines.control_addresses, record)
+        if not await operator.put(manifest(1, [ROUTE], [SERVICE]), FIRST_REMOVAL_S - 4):
+            return 2
+        await asyncio.sleep(start_s + FIRST_REMOVAL_S - time.monotonic())
         if has_trouble:
-            await asyncio.sleep(KILL_S)
-            victim = machines.core[2]
-            if victim.process is None or victim.process.poll() is not None:
-                return 2
-            victim.kill()
-            record.line(f"platform: the control process of {victim.ip} is killed")
-            await asyncio.sleep(RESTART_S - KILL_S)
-            # The system isn't started for the first time any more.
-            victim.start(bootstrap=False)
-            record.line(f"platform: {victim.ip} is started again, bootstrap: false")
-        await asyncio.sleep(start_s + MANIFEST_S - time.monotonic())
-        for number in (201, 202):
-            ip = f"{machines.network}.{number}"
-            target = Target(
-                record, ip, SERVICE, "karachi-a", machines.control_addresses, answer
-            )
-            await target.start()
-            targets.append(target)
+            await replace_machines(machines, record)
+        running = machines.control_addresses
+        record.line(f"{len(running)} core machines run: {' '.join(running)}")
+        await asyncio.sleep(start_s + READ_S - time.monotonic())
         operator = Operator(machines.control_addresses, record)
-        put = asyncio.create_task(
-            operator.put(manifest(1, [ROUTE], [SERVICE]), END_S - MANIFEST_S)
-        )
-        await asyncio.sleep(start_s + TRAFFIC_S - time.monotonic())
-        served = await send_requests(machines, record, start_s + END_S)
-        is_acknowledged = put.done() and put.result()
-        put.cancel()
-        running = [machine.process.poll() is None for machine in machines.all]
-        record.line(
-            f"manifest acknowledged: {is_acknowledged}; requests served: {served}; "
-            f"processes running: {sum(running)} of {len(running)}"
-        )
-        for machine in machines.core:
-            lines = machine.log.read_text().splitlines()
-            for line in [line for line in lines if "waiting until all" in line][:1]:
-                record.line(f"log of {machine.ip}: {line}")
-        if not all(running):
+        body = await operator.get(start_s + END_S - time.monotonic())
+        version = None if body is None else json.loads(body)["version"]
+        record.line(f"read back at the end: {version}")
+        if len(machines.control_addresses) != len(running):
             return 2
-        return 0 if served else 1
+        return 0 if version == "00000001" else 1
     finally:
-        for target in targets:
-            target.stop()
         machines.stop()
 
 
