--- a/review/6/case.py
+++ b/review/6/case.py
@@ -6,6 +6,7 @@
 import signal
 import sys
 import time
+import traceback
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
@@ -28,17 +29,17 @@
 
 
 async def replace_machines(machines: Machines, record: Record) -> None:
-    """Add two machines in place of two, and go on once those have had their time."""
+    """Add two machines, and remove two once the new ones have had their time."""
     for step in range(STEP_COUNT):
         first = step * TOLERATED_COUNT
         victims = machines.core[first : first + TOLERATED_COUNT]
-        for victim in victims:
-            victim.remove()
-            record.line(f"platform: {victim.ip} is removed for good")
         for victim in victims:
             added = machines.add_core(victim.zone)
             record.line(f"platform: {added.ip} is added, with an empty disk")
         await asyncio.sleep(CATCH_UP_S)
+        for victim in victims:
+            victim.remove()
+            record.line(f"platform: {victim.ip} is removed for good")
 
 
 async def play(has_trouble: bool) -> int:
@@ -71,4 +72,10 @@
 
 if __name__ == "__main__":
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
-    sys.exit(asyncio.run(play(os.environ.get("TROUBLE", "1") != "0")))
+    try:
+        exit_code = asyncio.run(play(os.environ.get("TROUBLE", "1") != "0"))
+    except BaseException:
+        # Neither a fault of the script nor an interruption shows a broken rule.
+        traceback.print_exc()
+        exit_code = 2
+    sys.exit(exit_code)
