Count the silence of a voter across changes of the leader

Cause: each new leader counted the silence of a voter anew, and only from when it was overdue: after an election of about a second, a second until the silence was noticed and `voter_lost_ms` (3 s).

Ruled out: the elections (0.5 to 1 s) and the newcomers (listed 0.4 s after their start) were in time.

Change: a leader counts the silence of its predecessor from that one's last message, and of others from their last acknowledgement; of a voter that never answered it, from its own election. A voter that is silent and that membership holds to be failed or gone counts as lost at once: membership counts from the first instances that noticed, whoever leads. A learner, which has no vote, is given up after one election timeout, since it holds up all other changes of the voters.

--- a/packages/cardamomrun-control/src/cardamomrun_control/agreement.py
+++ b/packages/cardamomrun-control/src/cardamomrun_control/agreement.py
@@ -81,6 +81,19 @@
             return False
         return self._is_responsive(peer) and peer.match_index >= self._commit_index
 
+    def silence_ms(self, instance_id: str) -> float:
+        """Return for how long a voter has not acknowledged a request of this leader.
+
+        That is 0 for this instance, and counted from the last message of the voter that
+        led before. Raises `KeyError` if the instance is no voter or this one not the
+        leader.
+        """
+        if instance_id == self._instance_id:
+            return 0.0
+        peer = self._peers[instance_id]
+        heard_ms = max(peer.acknowledged_ms, peer.silent_since_ms)
+        return self._clock.now_ms() - heard_ms
+
     def status(self) -> Status:
         """Return this instance's status and the voters as it sees them."""
         holds_lease = self.holds_lease()
--- a/packages/cardamomrun-control/src/cardamomrun_control/following.py
+++ b/packages/cardamomrun-control/src/cardamomrun_control/following.py
@@ -33,7 +33,7 @@
             await self._save_vote(envelope.term, "")
         elif self._role is not Role.FOLLOWER:
             self._become_follower(peer_id)
-        self._leader_id = peer_id
+        self._leader_id = self._last_leader_id = peer_id
         self._record_leader_contact()
         if self._first_leader_ms is None:
             self._first_leader_ms = self._leader_contact_ms
--- a/packages/cardamomrun-control/src/cardamomrun_control/replica.py
+++ b/packages/cardamomrun-control/src/cardamomrun_control/replica.py
@@ -82,6 +82,7 @@
         self._rng = rng or random.Random()
         self._role = Role.FOLLOWER
         self._leader_id: str | None = None
+        self._last_leader_id: str | None = None
         self._commit_index = 0
         self._applied_index = 0
         self._voter_sets: list[tuple[int, Voters]] = []
--- a/packages/cardamomrun-control/src/cardamomrun_control/replication.py
+++ b/packages/cardamomrun-control/src/cardamomrun_control/replication.py
@@ -46,8 +46,15 @@
             self._first_leader_ms = now_ms
         self._append_command(command)
         self._update_peer_tasks()
+        self._count_silence_of_last_leader()
         self._extend_lease()
 
+    def _count_silence_of_last_leader(self) -> None:
+        """Count its silence from its last message, which came before the election."""
+        peer = self._peers.get(self._last_leader_id or "")
+        if peer is not None:
+            peer.silent_since_ms = min(peer.silent_since_ms, self._leader_contact_ms)
+
     def _create_cluster_command(self, votes: dict[str, str]) -> ChangeVoters:
         entries = tuple(
             replace(voter, replica_id=votes[voter.instance_id])
@@ -86,6 +93,7 @@
                     instance_id,
                     voter.replica_id,
                     self._durable_log.last_index + 1,
+                    self._clock.now_ms(),
                 )
                 self._peers[instance_id] = peer
                 peer.task = self._spawn(self._replicate(peer, self.term))
--- a/packages/cardamomrun-control/src/cardamomrun_control/voter_keeper.py
+++ b/packages/cardamomrun-control/src/cardamomrun_control/voter_keeper.py
@@ -44,16 +44,14 @@
         self._clock = clock
         self._fleet = fleet
         self._agreement = agreement
-        self._lost_since_ms: dict[InstanceId, float] = {}
         self._retry_due_ms: dict[InstanceId, float] = {}
 
     async def maintain(self) -> None:
         """Make at most one change; raises the errors of `Agreement`'s changes."""
         status = self._agreement.status()
         if not status.holds_lease:
-            self._lost_since_ms.clear()
             return
-        lost = self._find_lost(status)
+        lost = [voter for voter in status.voters if self._is_lost(voter)]
         wiped = [voter for voter in status.voters if voter.replaced]
         unusable_learners = [voter for voter in (*lost, *wiped) if voter.is_learner]
         if unusable_learners:
@@ -68,29 +66,21 @@
         elif len(status.voters) - len(lost) < self._settings.voter_count:
             await self._add_newcomer(status)
 
-    def _find_lost(self, status: Status) -> list[VoterStatus]:
-        """Return the voters that have not responded for `voter_lost_ms`.
+    def _is_lost(self, voter: VoterStatus) -> bool:
+        """Return True if a voter is silent for too long, or silent and known to be down.
 
-        Updates since when each silent voter has not responded.
+        Membership counts a failure from when the first instances noticed it, so that it
+        outlasts a change of leader, after which a leader counts the silence anew.
         """
-        now_ms = self._clock.now_ms()
-        silent = {
-            voter.instance_id: voter
-            for voter in status.voters
-            if voter.instance_id != self._instance_id and not voter.replaced
-            if voter.heard_ms_ago is None
-            or voter.heard_ms_ago > self._settings.election_timeout_ms
-        }
-        self._lost_since_ms = {
-            instance_id: self._lost_since_ms.get(instance_id, now_ms)
-            for instance_id in silent
-        }
-        limit_ms = self._settings.voter_lost_ms
-        return [
-            voter
-            for instance_id, voter in silent.items()
-            if now_ms - self._lost_since_ms[instance_id] >= limit_ms
-        ]
+        if voter.instance_id == self._instance_id or voter.replaced:
+            return False
+        silence_ms = self._agreement.silence_ms(voter.instance_id)
+        if silence_ms < self._settings.election_timeout_ms:
+            return False
+        if voter.is_learner or silence_ms >= self._settings.voter_lost_ms:
+            return True
+        alive = {member.instance_id for member in self._fleet.members()}
+        return voter.instance_id not in alive
 
     def _may_remove(self, status: Status, voter: VoterStatus) -> bool:
         """Return True if at least 2 full voters remain, most of them caught up."""
@@ -113,10 +103,11 @@
         return is_enough and self._may_remove(status, voter)
 
     async def _remove(self, voter: VoterStatus, reason: str) -> None:
+        silence_ms = self._agreement.silence_ms(voter.instance_id)
         _log.warning(
             f"removing a voter: {reason}",
             voter=voter.instance_id,
-            heard_ms_ago=voter.heard_ms_ago,
+            silence_ms=round(silence_ms),
         )
         if not voter.replaced:
             self._postpone(voter.instance_id)
--- a/packages/cardamomrun-control/tests/test_voter_turnover.py
+++ b/packages/cardamomrun-control/tests/test_voter_turnover.py
@@ -69,6 +69,10 @@
 
 
 PACES = [
+    pytest.param(FIVE, choose_leaders, id="five, leaders"),
+    pytest.param(
+        {**FIVE, "is_silent": True}, choose_leaders, id="five, silent leaders"
+    ),
     pytest.param(FIVE, choose_any, id="five, any"),
     pytest.param({**FIVE, "is_silent": True}, choose_any, id="five, silent"),
     pytest.param({**FIVE, "is_silent": True}, choose_oldest, id="five, silent oldest"),
