Keep the state of a route by host and prefix instead of its name

Cause: `RoutingTable` kept the state of a split, with its services, by the route's name. The document's rules ask for different hosts and prefixes, not for different names.

Ruled out: the lookup. `match` goes by host and prefix and returned the right route; the service was wrong only from `choose_service` on.

The same cause elsewhere: the running means of response times and of the length of downloads (`RouteTimes`) and the quantiles of `Hedging` went by name too, so two such routes were judged by each other's times. Organisations are checked for different names, metrics and limits go by service, and routes of environments keep no state.

Change: `RoutingRoute.pattern`, host and prefix, is what tells routes apart, and the key of all three. It also follows a route whose name a later document changes.

--- a/packages/cardamomrun-base/src/cardamomrun_base/routing_document.py
+++ b/packages/cardamomrun-base/src/cardamomrun_base/routing_document.py
@@ -17,6 +17,7 @@
     "FrontLimits",
     "Organisation",
     "RouteKind",
+    "RoutePattern",
     "RoutedService",
     "RoutingDocument",
     "RoutingRoute",
@@ -48,6 +49,10 @@
     weight: float
 
 
+# The host in lower case, and the prefix.
+RoutePattern = tuple[str, str]
+
+
 @dataclass(frozen=True)
 class RoutingRoute:
     """Rules for requests to a host with a path prefix; the longest match wins.
@@ -55,7 +60,8 @@
     `objective_ms` is the target response time, `timeout_ms` the longest time that a
     request is held, `rank` its priority (0 is the highest), and `attempt_count` the
     largest number of backend servers that one request may reach. A public route needs no
-    key. The responses of downloads are large.
+    key. The responses of downloads are large. Names are for operators: several routes may
+    have the same one, and a later document may give it to another route.
     """
 
     name: str
@@ -70,6 +76,11 @@
     is_public: bool = False
     is_download: bool = False
 
+    @cached_property
+    def pattern(self) -> RoutePattern:
+        """Host and prefix, which tell a route from all others, also of later documents."""
+        return self.host.lower(), self.prefix
+
     @property
     def is_idempotent(self) -> bool:
         """True if a request may run more than once."""
@@ -128,6 +139,11 @@
     source: bytes = field(default=b"", repr=False)
     organisations: tuple[Organisation, ...] | None = None
 
+    @property
+    def patterns(self) -> frozenset[RoutePattern]:
+        """Patterns of all routes."""
+        return frozenset(route.pattern for route in self.routes)
+
     @cached_property
     def service_names(self) -> frozenset[str]:
         """Names of all services."""
@@ -136,17 +152,16 @@
 
 def check_routing(document: RoutingDocument) -> None:
     """Raise `DocumentError` for the first error in a document."""
-    patterns: set[tuple[str, str]] = set()
+    patterns: set[RoutePattern] = set()
     for route in document.routes:
         _check_route(route, document.service_names)
-        pattern = route.host.lower(), route.prefix
-        if pattern in patterns:
+        if route.pattern in patterns:
             raise DocumentError(
                 f"route {route.name!r}: host {route.host!r} and prefix "
                 f"{route.prefix!r} belong to another route too.",
                 remedy="remove one of the two routes",
             )
-        patterns.add(pattern)
+        patterns.add(route.pattern)
     _check_organisations(document.organisations or ())
 
 
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/hedging.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/hedging.py
@@ -5,7 +5,7 @@
 does. The extra work is bounded by a share of the requests that operators set.
 """
 
-from cardamomrun_base.routing_document import RoutingRoute
+from cardamomrun_base.routing_document import RoutePattern, RoutingRoute
 from cardamomrun_base.settings import GatewaySettings
 from cardamomrun_gateway.routed_request import RouteTimes
 
@@ -35,7 +35,7 @@
         self._ratio = settings.hedge_ratio
         self._route_times = route_times
         self._credits = MAX_CREDITS
-        self._quantiles_ms: dict[str, float] = {}
+        self._quantiles_ms: dict[RoutePattern, float] = {}
 
     def update_settings(self, settings: GatewaySettings) -> None:
         """Replace the share of requests that may be hedged."""
@@ -87,10 +87,10 @@
             quantile_ms += step_ms * (1 - self._ratio)
         else:
             quantile_ms -= step_ms * self._ratio
-        self._quantiles_ms[route.name] = max(0.0, quantile_ms)
+        self._quantiles_ms[route.pattern] = max(0.0, quantile_ms)
 
     def _quantile_ms(self, route: RoutingRoute) -> float:
-        quantile_ms = self._quantiles_ms.get(route.name)
+        quantile_ms = self._quantiles_ms.get(route.pattern)
         if quantile_ms is None:
             return self._route_times.expected_ms(route) * FIRST_DELAY_RATIO
         return quantile_ms
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/routed_request.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/routed_request.py
@@ -7,7 +7,7 @@
 from cardamomrun_base import headers as names
 from cardamomrun_base.clock import Clock
 from cardamomrun_base.headers import GatewayHeaders
-from cardamomrun_base.routing_document import Organisation, RoutingRoute
+from cardamomrun_base.routing_document import Organisation, RoutePattern, RoutingRoute
 from cardamomrun_gateway.organisations import combined_rank, encode_header_text
 from cardamomrun_requests.framing import end_to_end_headers
 from cardamomrun_requests.request import ClientRequest
@@ -31,12 +31,12 @@
     """Running means of the response times of routes, in ms, and of download lengths."""
 
     def __init__(self) -> None:
-        self._means_ms: dict[str, float] = {}
-        self._mean_bytes: dict[str, float] = {}
+        self._means_ms: dict[RoutePattern, float] = {}
+        self._mean_bytes: dict[RoutePattern, float] = {}
 
     def expected_ms(self, route: RoutingRoute) -> float:
         """Return the mean response time of a route; an assumed one before the first."""
-        mean_ms = self._means_ms.get(route.name)
+        mean_ms = self._means_ms.get(route.pattern)
         return route.objective_ms * FIRST_MEAN_RATIO if mean_ms is None else mean_ms
 
     def overdue_ms(self, route: RoutingRoute) -> float:
@@ -54,20 +54,20 @@
         mean_ms = self.expected_ms(route)
         duration_ms = max(duration_ms - link_wait_ms, min(duration_ms, mean_ms))
         mean_ms += MEAN_WEIGHT * (duration_ms - mean_ms)
-        self._means_ms[route.name] = mean_ms
+        self._means_ms[route.pattern] = mean_ms
 
     def download_bytes(self, route: RoutingRoute) -> float:
         """Return the mean length of a download's responses; 0 for other routes."""
         if not route.is_download:
             return 0.0
-        return self._mean_bytes.get(route.name, FIRST_DOWNLOAD_BYTES)
+        return self._mean_bytes.get(route.pattern, FIRST_DOWNLOAD_BYTES)
 
     def record_bytes(self, route: RoutingRoute, length_bytes: int) -> None:
         """Add the length of a response to the mean, if the route is a download."""
         if route.is_download:
             mean_bytes = self.download_bytes(route)
             mean_bytes += MEAN_WEIGHT * (length_bytes - mean_bytes)
-            self._mean_bytes[route.name] = mean_bytes
+            self._mean_bytes[route.pattern] = mean_bytes
 
 
 @dataclass(frozen=True)
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/table.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/table.py
@@ -8,6 +8,7 @@
 from cardamomrun_base.logs import ComponentLog
 from cardamomrun_base.model import Record, RecordKind, RoutingBody
 from cardamomrun_base.routing_document import (
+    RoutePattern,
     RoutingDocument,
     RoutingRoute,
     unpack_routing,
@@ -60,7 +61,7 @@
         self.idempotent_services: frozenset[str] = frozenset()
         self.organisations = OrganisationIndex(None)
         self._routes: dict[str, dict[str, RoutingRoute]] = {}
-        self._splits: dict[str, WeightedSplit] = {}
+        self._splits: dict[RoutePattern, WeightedSplit] = {}
         store.subscribe(RecordKind.ROUTING, self._put_in_force)
         for record in store.all(RecordKind.ROUTING):
             self._put_in_force(record)
@@ -88,10 +89,10 @@
         """Return the service for the next request of a route, by its weights."""
         if len(route.split) == 1:
             return route.split[0].service
-        weighted_split = self._splits.get(route.name)
+        weighted_split = self._splits.get(route.pattern)
         if weighted_split is None:
             weighted_split = WeightedSplit(route, self._random.random())
-            self._splits[route.name] = weighted_split
+            self._splits[route.pattern] = weighted_split
         return weighted_split.next_service()
 
     def _put_in_force(self, record: Record) -> None:
