Forget what was learned of routes that are gone

Means of response times, lengths of downloads and quantiles of hedges outlived their routes: they were never dropped, and a route that came later for the same requests, perhaps at another service, began with them.

Each document that is put in force keeps those of its own routes, by host and prefix.

--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/hedging.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/hedging.py
@@ -5,6 +5,8 @@
 does. The extra work is bounded by a share of the requests that operators set.
 """
 
+from collections.abc import Set
+
 from cardamomrun_base.routing_document import RoutePattern, RoutingRoute
 from cardamomrun_base.settings import GatewaySettings
 from cardamomrun_gateway.routed_request import RouteTimes
@@ -89,6 +91,11 @@
             quantile_ms -= step_ms * self._ratio
         self._quantiles_ms[route.pattern] = max(0.0, quantile_ms)
 
+    def keep_only(self, patterns: Set[RoutePattern]) -> None:
+        """Forget the routes that are not among `patterns`."""
+        for pattern in self._quantiles_ms.keys() - patterns:
+            del self._quantiles_ms[pattern]
+
     def _quantile_ms(self, route: RoutingRoute) -> float:
         quantile_ms = self._quantiles_ms.get(route.pattern)
         if quantile_ms is None:
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/routed_request.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/routed_request.py
@@ -1,5 +1,6 @@
 """A request with its route and deadline, and the response times of routes."""
 
+from collections.abc import Set
 from dataclasses import dataclass
 
 from tornado.httputil import HTTPHeaders
@@ -69,6 +70,12 @@
             mean_bytes += MEAN_WEIGHT * (length_bytes - mean_bytes)
             self._mean_bytes[route.pattern] = mean_bytes
 
+    def keep_only(self, patterns: Set[RoutePattern]) -> None:
+        """Forget the routes that are not among `patterns`."""
+        for values in (self._means_ms, self._mean_bytes):
+            for pattern in values.keys() - patterns:
+                del values[pattern]
+
 
 @dataclass(frozen=True)
 class RoutedRequest:
--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/table.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/table.py
@@ -1,7 +1,7 @@
 """Route lookup in the routing document that is in force on this instance."""
 
 import random
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from cardamomrun_base.errors import CardamomrunError
 from cardamomrun_base.interfaces import RecordStore
@@ -51,6 +51,7 @@
 
     `document` is None until one is known. `idempotent_services` are the services with
     at least one idempotent route, and `organisations` finds those of the document.
+    `on_change` is called with each document that is put in force.
     """
 
     def __init__(
@@ -60,6 +61,7 @@
         self.document: RoutingDocument | None = None
         self.idempotent_services: frozenset[str] = frozenset()
         self.organisations = OrganisationIndex(None)
+        self.on_change: Callable[[RoutingDocument], None] = lambda document: None
         self._routes: dict[str, dict[str, RoutingRoute]] = {}
         self._splits: dict[RoutePattern, WeightedSplit] = {}
         store.subscribe(RecordKind.ROUTING, self._put_in_force)
@@ -121,6 +123,7 @@
         self.organisations = OrganisationIndex(document.organisations)
         self._routes = routes
         self._splits = {}
+        self.on_change(document)
         _log.info(
             "a routing document is in force",
             number=document.number,
--- a/packages/cardamomrun-gateway/tests/test_routes_of_one_name.py
+++ b/packages/cardamomrun-gateway/tests/test_routes_of_one_name.py
@@ -1,5 +1,7 @@
 """Operators may give several routes one name, and a name to another route later."""
 
+from dataclasses import replace
+
 import pytest
 
 from cardamomrun_base.routing_document import ServiceWeight
@@ -60,3 +62,30 @@
             hedging.record(known, duration_ms)
     assert hedging.delay_ms(slow) > 900.0
     assert hedging.delay_ms(fast) < 200.0
+
+
+def test_what_was_learned_of_a_route_ends_with_it():
+    """Guards against a new route that is judged by the times of one that was removed."""
+    removed, kept = named_alike(is_download=True)
+    times = RouteTimes()
+    hedging = Hedging(GatewaySettings(hedge_ratio=0.05), times)
+    store = FakeStore()
+    table = RoutingTable(store)
+
+    def forget_removed_routes(changed):
+        times.keep_only(changed.patterns)
+        hedging.keep_only(changed.patterns)
+
+    table.on_change = forget_removed_routes
+    first = [times.expected_ms(removed), hedging.delay_ms(removed)]
+    for known in (removed, kept):
+        times.record(known, 9_000.0)
+        times.record_bytes(known, 9)
+        hedging.record(known, 9_000.0)
+    learned = [times.expected_ms(kept), times.download_bytes(kept)]
+    delay_ms = hedging.delay_ms(kept)
+    services = ("v", "w", "x", "y")
+    store.put(routing_record(document(2, [replace(kept, name="other")], services)))
+    assert [times.expected_ms(removed), hedging.delay_ms(removed)] == first
+    assert [times.expected_ms(kept), times.download_bytes(kept)] == learned
+    assert hedging.delay_ms(kept) == delay_ms
--- a/packages/cardamomrun-node/src/cardamomrun_node/gateway_node.py
+++ b/packages/cardamomrun-node/src/cardamomrun_node/gateway_node.py
@@ -8,6 +8,7 @@
 from cardamomrun_base.headers import GatewayHeaders
 from cardamomrun_base.logs import ComponentLog
 from cardamomrun_base.model import MemberPhase
+from cardamomrun_base.routing_document import RoutingDocument
 from cardamomrun_base.settings import GatewaySettings, NodeSettings, Role
 from cardamomrun_fleet.fleet import Fleet
 from cardamomrun_gateway.address_book import EntryAddresses
@@ -82,6 +83,7 @@
         )
         self._route_times = RouteTimes()
         self._hedging = Hedging(self._gateway, self._route_times)
+        self.table.on_change = self._forget_removed_routes
         self.client_memory = ClientMemory(settings, clock)
         self._shutdown = Shutdown(clock, self._gateway.grace_ms)
         self._quotas: Quotas | None = None
@@ -149,6 +151,10 @@
             from_next_start=deferred,
         )
 
+    def _forget_removed_routes(self, document: RoutingDocument) -> None:
+        self._route_times.keep_only(document.patterns)
+        self._hedging.keep_only(document.patterns)
+
     def _may_be_revoked(self, documents: DocumentCheck) -> bool:
         """Return True while strict revocation forbids to accept keys."""
         return (
