--- a/packages/cardamomrun-control/tests/builders.py
+++ b/packages/cardamomrun-control/tests/builders.py
@@ -477,7 +477,8 @@
 
     Every `period_ms`, `lost_count` machines are removed for good; their successors start
     `successor_ms` after that, or with the previous removal if it is negative. A machine
-    is listed as a member `start_ms` after its start.
+    is listed as a member `start_ms` after its start. With `is_wiped` the machines are no
+    others, but return with empty disks.
     """
 
     core_count: int
@@ -487,6 +488,7 @@
     is_silent: bool = False
     successor_ms: float = -1
     start_ms: float = 1_000
+    is_wiped: bool = False
 
     @property
     def forgotten_ms(self):
@@ -536,6 +538,12 @@
         self.cluster.instances[added.name] = added
         await added.start()
 
+    async def wipe(self, name):
+        """Kill a machine, which loses its disk and starts again at its old address."""
+        instance = self.cluster.instances[name]
+        await instance.crash(wipe=True)
+        self.tasks.append(asyncio.ensure_future(self._start(instance)))
+
     async def remove(self, name):
         """Remove a machine for good; the others list it as a member for a while."""
         self.removed.add(name)
--- a/packages/cardamomrun-control/tests/test_voter_turnover.py
+++ b/packages/cardamomrun-control/tests/test_voter_turnover.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from .builders import Pace, Turnover, retry, routing, virtual_time
+from .builders import Pace, Turnover, retry, routing, until, virtual_time
 
 # Each turns the whole core over twice or more, at the pace of the platform: the next
 # machines go once the last successors have had `catch_up_s`.
@@ -49,7 +49,7 @@
 
     await retry(put)
     await asyncio.sleep(10)
-    if pace.successor_ms < 0:
+    if pace.successor_ms < 0 and not pace.is_wiped:
         for _ in range(pace.lost_count):
             turnover.add()
         await asyncio.sleep(pace.period_ms / 1_000)
@@ -57,9 +57,12 @@
         loop = asyncio.get_running_loop()
         end_s = loop.time() + pace.period_ms / 1_000
         for instance in choose(turnover)[: pace.lost_count]:
-            await turnover.remove(instance.name)
+            if pace.is_wiped:
+                await turnover.wipe(instance.name)
+            else:
+                await turnover.remove(instance.name)
         await asyncio.sleep(max(0, pace.successor_ms) / 1_000)
-        for _ in range(pace.lost_count):
+        for _ in range(0 if pace.is_wiped else pace.lost_count):
             turnover.add()
         number += 1
         await retry(put, limit_s=end_s - loop.time())
@@ -99,6 +102,8 @@
         choose_any,
         id="eleven, silent, late successors",
     ),
+    pytest.param({**FIVE, "is_wiped": True}, choose_leaders, id="five, wiped leaders"),
+    pytest.param({**ELEVEN, "is_wiped": True}, choose_any, id="eleven, wiped"),
     pytest.param(
         {**ELEVEN, "core_count": 15, "is_silent": True},
         choose_any,
@@ -113,3 +118,38 @@
     """Guards against removed voters that outnumber the successors with a vote."""
     async with Turnover(tmp_path, Pace(**fields)) as turnover:
         await replace_without_end(turnover, choose)
+
+
+@virtual_time
+async def test_two_silent_voters_of_five_keep_their_votes(tmp_path):
+    """Guards against a set of voters that shrinks while machines are only cut off."""
+    async with Turnover(tmp_path, Pace(**FIVE)) as turnover:
+        names = set(turnover.cluster.instances)
+        await turnover.cluster.wait_for_voters(names)
+        others = [i for i in turnover.left() if not i.holds_lease]
+        turnover.cluster.network.silent |= {i.name for i in others[:2]}
+        await asyncio.sleep(20)
+        assert turnover.cluster.settled_voters() == names
+        turnover.cluster.network.silent.clear()
+        await asyncio.sleep(2)
+        for instance in others[2:]:
+            await turnover.remove(instance.name)
+        await retry(lambda: others[0].control.put(routing(1), "op"), limit_s=10)
+
+
+@virtual_time
+async def test_a_voter_that_was_cut_off_returns_after_its_removal(tmp_path):
+    """Guards against a voter that votes by what it knew, or never again."""
+    async with Turnover(tmp_path, Pace(**{**FIVE, "core_count": 6})) as turnover:
+        names = set(turnover.cluster.instances)
+        await turnover.cluster.wait_for_voters(names)
+        cut_off = next(i for i in turnover.left() if not i.holds_lease)
+        turnover.cluster.network.silent.add(cut_off.name)
+        await turnover.cluster.wait_for_voters(names - {cut_off.name})
+        leader = next(i for i in turnover.left() if i.holds_lease)
+        await leader.control.put(routing(1), "op")
+        term = leader.control.agreement.term
+        turnover.cluster.network.silent.clear()
+        await turnover.cluster.wait_for_voters(names)
+        await until(lambda: cut_off.control._state.routing.number == 1, limit_s=5)
+        assert leader.holds_lease and leader.control.agreement.term == term
