--- a/packages/cardamomrun-control/tests/test_voter_turnover.py
+++ b/packages/cardamomrun-control/tests/test_voter_turnover.py
@@ -90,6 +90,9 @@
         choose_any,
         id="five, silent, late successors",
     ),
+    pytest.param(
+        {**ELEVEN, "period_ms": 4_050}, choose_leaders, id="eleven, leaders, short pace"
+    ),
     pytest.param(ELEVEN, choose_leaders, id="eleven, leaders"),
     pytest.param(
         {**ELEVEN, "is_silent": True}, choose_oldest, id="eleven, silent oldest"
@@ -153,3 +156,17 @@
         await turnover.cluster.wait_for_voters(names)
         await until(lambda: cut_off.control._state.routing.number == 1, limit_s=5)
         assert leader.holds_lease and leader.control.agreement.term == term
+
+
+@virtual_time
+async def test_a_new_leader_counts_the_silence_of_the_last_one(tmp_path):
+    """Guards against a lost leader that keeps its vote for an election longer."""
+    async with Turnover(tmp_path, Pace(**{**FIVE, "core_count": 6})) as turnover:
+        names = set(turnover.cluster.instances)
+        await turnover.cluster.wait_for_voters(names)
+        leader = next(i for i in turnover.left() if i.holds_lease)
+        lost_ms = leader.settings.control.voter_lost_ms
+        turnover.cluster.network.silent.add(leader.name)
+        turnover.removed.add(leader.name)
+        await asyncio.sleep((lost_ms + 500) / 1_000)
+        assert turnover.cluster.settled_voters() == names - {leader.name}
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -16,6 +16,9 @@
 __all__ = [
     "Fault",
     "FaultInjector",
+    "KINDS",
+    "PLANNED_KINDS",
+    "TURNOVER_FAULT_KINDS",
     "draw_faults",
     "draw_limits",
     "draw_notices",
@@ -28,6 +31,8 @@
     "herd",
 )  # fmt: skip
 PLANNED_KINDS = ("term", "term", "again", "hup", "depart")
+# Faults of backend servers and of entry instances, beside which the core is replaced.
+TURNOVER_FAULT_KINDS = ("sick", "silence", "reset", "depart", "pause", "kill", "term")
 # Planned too, and drawn apart.
 APART_KINDS = ("limit", "roll", "rest", "leave")
 # These stop or pause instances.
@@ -39,6 +44,9 @@
 SHED_PAUSE_S = 0.7
 # The grace time of 6 s, pauses that overlap it, and a slow start on a loaded machine.
 STOP_LIMIT_S = 12.0
+# A new control instance counts as lost for this long, so the next one goes only then.
+CATCH_UP_S = 4.05
+REMOVALS = (signal.SIGKILL, signal.SIGSTOP, signal.SIGTERM)
 
 
 @dataclass(frozen=True)
@@ -55,13 +63,13 @@
 
 
 def draw_faults(
-    seed: int, duration_s: float, count: int, is_planned: bool = False
+    seed: int, duration_s: float, count: int, kinds: tuple[str, ...]
 ) -> list[Fault]:
     """Return the faults of a seed, sorted by start; they may overlap."""
     rng = random.Random(seed)
     faults = [
         Fault(
-            rng.choice(PLANNED_KINDS if is_planned else KINDS),
+            rng.choice(kinds),
             rng.uniform(0.5, duration_s),
             rng.uniform(0.3, 3.0),
             rng.randrange(1_000_000),
@@ -136,7 +144,10 @@
         servers: list[StandInServer],
         ledger: Ledger,
         add_server: Callable[[], Awaitable[None]],
+        *,
+        spares_control: bool = False,
     ) -> None:
+        self._spares_control = spares_control
         self._instances = instances
         self._servers = servers
         self._ledger = ledger
@@ -162,12 +173,44 @@
         for server in self._servers:
             server.mode = ServerMode.HEALTHY
         for instance in self._instances.all:
+            if instance.is_removed:
+                continue
             if instance.is_paused:
                 instance.signal(signal.SIGCONT)
             self._start(instance)
         now_s = time.monotonic()
         self._ledger.disturbed_s.append((now_s, now_s))
 
+    async def replace_core(
+        self, seed: int, step_count: int, acknowledged: Callable[[], int]
+    ) -> None:
+        """Replace control instances one after the other, as fast as the platform does.
+
+        Half of those removed are the ones that lead. In each step the operator must get
+        a document acknowledged.
+        """
+        if not step_count:
+            return
+        rng = random.Random(f"turnover of {seed}")
+        self._instances.add_control()
+        await asyncio.sleep(CATCH_UP_S)
+        for _ in range(step_count):
+            control = self._instances.control
+            leader = max(control, key=Instance.leader_term)
+            victim = leader if rng.random() < 0.5 else rng.choice(control)
+            removal = rng.choice(REMOVALS)
+            role = "leader" if victim is leader else "control instance"
+            self._ledger.record_fault(f"removes the {role} {victim.ip}: {removal.name}")
+            before = acknowledged()
+            victim.remove(removal)
+            self._instances.add_control()
+            await asyncio.sleep(CATCH_UP_S)
+            if acknowledged() == before:
+                self._ledger.record_violation(
+                    f"no document was acknowledged within {CATCH_UP_S} s after the "
+                    f"removal of {victim.ip}"
+                )
+
     def check_exits(self) -> None:
         """Check that no instance ended by itself."""
         for instance in self._instances.all:
@@ -186,7 +229,10 @@
             instance.start()
 
     def _selected_instance(self, fault: Fault) -> Instance:
-        return self._instances.all[fault.selector % len(self._instances.all)]
+        instances = self._instances.all
+        if self._spares_control:
+            instances = self._instances.entry
+        return instances[fault.selector % len(instances)]
 
     def _selected_server(self, fault: Fault) -> StandInServer:
         return self._servers[fault.selector % len(self._servers)]
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -22,6 +22,9 @@
 
 from ..adapter.builders import manifest, route_fields
 from .faults import (
+    KINDS,
+    PLANNED_KINDS,
+    TURNOVER_FAULT_KINDS,
     FaultInjector,
     draw_faults,
     draw_limits,
@@ -30,7 +33,7 @@
     draw_shedding,
 )
 from .ledger import Ledger, LostRequest, SentRequest
-from .machines import FRONT_PORT, READY_PORT, Instances
+from .machines import CONTROL_COUNT, FRONT_PORT, READY_PORT, Instances
 from .organisations import PUBLIC_PREFIX, Organisations
 from .raw_clients import RawClients
 from .servers import SLOTS, StandInServer
@@ -53,6 +56,8 @@
 CALL_TIMEOUT_S = 1.0
 SEND_INTERVAL_S = 0.02
 UPLOAD_BYTES = 60_000
+# Control instances of a run that replaces them.
+TURNOVER_CORE_COUNT = 5
 # Parts that each seed includes with this probability.
 PARTS = ("organisations", "downloads", "sending ahead", "misbehaviour")
 PART_RATIO = 0.5
@@ -73,6 +78,8 @@
     fault_count: int = 14
     duration_s: float = 12.0
     is_planned: bool = False
+    # Replaces this many of five control instances, one after the other.
+    turnover_count: int = 0
     # The parts of the run; drawn from the seed if None.
     parts: frozenset[str] | None = None
 
@@ -86,7 +93,10 @@
             f"127.{20 + network_number // 250 % 200}.{1 + network_number % 250}"
         )
         self.ledger = Ledger()
-        self.instances = Instances(folder, self.network, options.entry_count)
+        control_count = TURNOVER_CORE_COUNT if options.turnover_count else CONTROL_COUNT
+        self.instances = Instances(
+            folder, self.network, options.entry_count, control_count
+        )
         self.servers: list[StandInServer] = []
         self.numbers = itertools.count(1)
         self.is_over = False
@@ -126,19 +136,31 @@
         working += self._start_raw_clients()
         if self.organisations is not None:
             self.organisations.start()
-        injector = FaultInjector(
-            self.instances, self.servers, self.ledger, self.add_server
-        )
         options = self.options
+        has_turnover = options.turnover_count > 0
+        injector = FaultInjector(
+            self.instances, self.servers, self.ledger, self.add_server,
+            spares_control=has_turnover,
+        )  # fmt: skip
+        kinds = PLANNED_KINDS if options.is_planned else KINDS
         faults = draw_faults(
-            options.seed, options.duration_s, options.fault_count, options.is_planned
+            options.seed,
+            options.duration_s,
+            options.fault_count,
+            TURNOVER_FAULT_KINDS if has_turnover else kinds,
         )
         faults += draw_limits(options.seed, options.duration_s)
-        faults += draw_series(options.seed, options.duration_s)
+        if not has_turnover:
+            faults += draw_series(options.seed, options.duration_s)
         faults += draw_notices(options.seed, options.duration_s)
         if not options.is_planned:
             faults += draw_shedding(options.seed, options.duration_s)
-        await asyncio.gather(*(injector.inject(fault) for fault in faults))
+        await asyncio.gather(
+            injector.replace_core(
+                options.seed, options.turnover_count, lambda: self.acknowledged
+            ),
+            *(injector.inject(fault) for fault in faults),
+        )
         await injector.heal()
         await self._check_recovery()
         if self.organisations is not None:
@@ -157,7 +179,7 @@
         number = len(self.servers) + 1
         server = StandInServer(
             f"{self.network}.{200 + number}", number, self.ledger,
-            self.instances.control_addresses(), self.options.seed, self.organisations,
+            self.instances.control_addresses, self.options.seed, self.organisations,
         )  # fmt: skip
         self.servers.append(server)
         await server.start()
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -7,6 +7,7 @@
 import socket
 import struct
 import time
+from collections.abc import Callable
 from enum import StrEnum
 
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
@@ -50,7 +51,7 @@
         host: str,
         number: int,
         ledger: Ledger,
-        control: list[str],
+        control: Callable[[], list[str]],
         seed: int,
         organisations: Organisations | None = None,
     ) -> None:
@@ -111,11 +112,11 @@
         return self.refused_ratio > 0 and self._random.random() < self.refused_ratio
 
     async def _announce_until_drained(self) -> None:
-        target = self._random.choice(self._control)
+        target = self._random.choice(self._control())
         while True:
             announced_state = self._state
             if not await self._send_heartbeat(target):
-                target = self._random.choice(self._control)
+                target = self._random.choice(self._control())
                 await asyncio.sleep(0.1)
                 continue
             if announced_state == "draining":
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -64,6 +64,21 @@
     check(options, tmp_path)
 
 
+@pytest.mark.timeout(300)
+def test_promises_hold_while_the_core_is_replaced(tmp_path):
+    """Guards against a document lost with the voters that were replaced (review/7)."""
+    options = SoakOptions(
+        seed=2,
+        entry_count=2,
+        server_count=3,
+        fault_count=4,
+        duration_s=18.0,
+        turnover_count=4,
+        parts=frozenset(),
+    )
+    check(options, tmp_path)
+
+
 @pytest.mark.soak
 @pytest.mark.timeout(300)
 @pytest.mark.parametrize("cause", FAILED)
