--- a/tests/soak/machines.py
+++ b/tests/soak/machines.py
@@ -17,7 +17,7 @@
 FRONT_PORT, READY_PORT = 18144, 18140
 CONTROL_COUNT = 3
 # Control instances have the numbers up to this one, also those that replace others.
-MAX_CONTROL_COUNT = 10
+MAX_CONTROL_COUNT = 18
 # The addresses from .200 on are those of backend servers.
 MAX_ENTRY_COUNT = 180
 
@@ -141,7 +141,8 @@
         self._network = network
         self._next_control_number = control_count + 1
         control = [f"{network}.{n}" for n in range(1, control_count + 1)]
-        entry = [f"{network}.{n}" for n in range(11, 11 + entry_count)]
+        first = MAX_CONTROL_COUNT + 1
+        entry = [f"{network}.{n}" for n in range(first, first + entry_count)]
         assert entry_count <= MAX_ENTRY_COUNT
         self.all = [Instance(folder, ip, self._seeds) for ip in (*control, *entry)]
 
