--- a/packages/cardamomrun-control/tests/test_voter_turnover.py
+++ b/packages/cardamomrun-control/tests/test_voter_turnover.py
@@ -170,3 +170,27 @@
         turnover.removed.add(leader.name)
         await asyncio.sleep((lost_ms + 500) / 1_000)
         assert turnover.cluster.settled_voters() == names - {leader.name}
+
+
+@pytest.mark.parametrize("freeze_ms", [2_000, 5_000])
+@pytest.mark.parametrize("delay_ms", [0, 40, 80, 120, 200])
+@virtual_time
+async def test_a_leader_that_freezes_while_it_adds_a_voter(
+    tmp_path, delay_ms, freeze_ms
+):
+    """Guards against a newcomer that stays a learner, and holds up all other changes."""
+    async with Turnover(tmp_path, Pace(**FIVE)) as turnover:
+        names = set(turnover.cluster.instances)
+        await turnover.cluster.wait_for_voters(names)
+        leader = next(i for i in turnover.left() if i.holds_lease)
+        turnover.add()
+        await until(lambda: "c6" in turnover.cluster.network.fleets)
+        agreement = leader.control.agreement
+        await until(lambda: agreement._find_voter("c6") is not None)
+        await asyncio.sleep(delay_ms / 1_000)
+        turnover.cluster.network.silent.add(leader.name)
+        await asyncio.sleep(freeze_ms / 1_000)
+        turnover.cluster.network.silent.clear()
+        await until(lambda: turnover.cluster.settled_voters() == names | {"c6"}, 6)
+        await retry(lambda: leader.control.put(routing(1), "op"), limit_s=6)
+        assert sum(instance.holds_lease for instance in turnover.left()) == 1
