Hedge only requests whose complete body is buffered

Cause: a hedge started because the body could be sent again from its start. It could, but not while the first attempt waited for the rest: both read the same channel, and what one takes, or the end that it finds, is missing for the other.

Ruled out: attempts one after the other; the sending task of a failed attempt has ended before the next one starts.

Change: `RequestBody.is_buffered`, the complete body has arrived and is held, is what a hedge needs. Evidence: test_a_body_that_pauses_reaches_each_server_whole failed before at the size of the buffer, in chunks, and passes now.

--- a/packages/cardamomrun-gateway/src/cardamomrun_gateway/dispatch.py
+++ b/packages/cardamomrun-gateway/src/cardamomrun_gateway/dispatch.py
@@ -482,6 +482,7 @@
             len(self._running) == 1
             and self._hedge_wait_ms(routed) <= 0
             and self._may_retry(routed)
+            and self._request.body.is_buffered
             and self._tools.hedging.has_credit
             and self._has_time(routed)
             and not self._is_blocked()
--- a/packages/cardamomrun-gateway/tests/test_dispatch.py
+++ b/packages/cardamomrun-gateway/tests/test_dispatch.py
@@ -121,6 +121,40 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize("is_length_known", [False, True])
+@pytest.mark.parametrize("extra_bytes", [-1, 0, 1])
+def test_a_body_that_pauses_reaches_each_server_whole(extra_bytes, is_length_known):
+    """Guards against a second server that runs the first part of it (review/8, UNASKED)."""
+    first = b"x" * (MAX_BUFFERED_BODY_BYTES + extra_bytes)
+    parts = [first[i : i + 65_536] for i in range(0, len(first), 65_536)]
+    body = first + b"y" * 200_000
+
+    def framed(part):
+        return part if is_length_known else b"%x\r\n%b\r\n" % (len(part), part)
+
+    async def main():
+        servers = ScriptedServer([SERVED]), ScriptedServer([SERVED])
+        content = document(routes=[route("/a/", objective_ms=200.0)])
+        async with gateway(*servers, content=content) as running:
+            fields = {"transfer_encoding": "chunked"}
+            if is_length_known:
+                fields = {"content_length": str(len(body))}
+            reader, writer = await running.connect()
+            writer.write(request("POST", "/a/x", **fields))
+            writer.writelines(map(framed, parts))
+            await asyncio.sleep(0.6)
+            writer.write(framed(body[len(first) :]))
+            if not is_length_known:
+                writer.write(b"0\r\n\r\n")
+            received = parse_response(await reader.read())
+            writer.close()
+            assert received.status == 200
+            run = [run for server in servers for run in server.bodies]
+            assert run and set(run) == {body}
+
+    asyncio.run(main())
+
+
 LONG_BODY = b"x" * (BUFFERED_BYTES + 50_000)
 
 
--- a/packages/cardamomrun-requests/src/cardamomrun_requests/request.py
+++ b/packages/cardamomrun-requests/src/cardamomrun_requests/request.py
@@ -74,6 +74,15 @@
         """True while the body can be sent from its start."""
         return self._resendable
 
+    @property
+    def is_buffered(self) -> bool:
+        """True if the complete body is buffered, so that several servers can get it.
+
+        Otherwise what one of them reads beyond the buffered start, or the end that it
+        finds there, is missing for the others.
+        """
+        return self._resendable and not self._surplus and self._channel.ended
+
     async def read_prefix(self) -> None:
         """Buffer the body up to its end or the first `buffer_bytes`.
 
