Let seven control instances vote, with the others as spares

Cause: with up to 16 voters, each change and heartbeat goes to ten followers instead of four on the sites with eleven control machines.

Change: seven. Five voters of a core of five vote as before this commit. In the tests that replace leaders, the other machines that go are voters too, since spares are no loss.

--- a/packages/cardamomrun-base/src/cardamomrun_base/settings.py
+++ b/packages/cardamomrun-base/src/cardamomrun_base/settings.py
@@ -64,7 +64,7 @@
     data_folder: Path
     voters: Annotated[tuple[Voter, ...], Field(max_length=8)]
     operator_tokens_file: Path | None = None
-    voter_count: Annotated[int, Field(ge=1, le=32)] = 16
+    voter_count: Annotated[int, Field(ge=1, le=32)] = 7
     voter_lost_ms: Annotated[int, Field(ge=1_000, le=86_400_000)] = 3_000
     election_timeout_ms: Annotated[int, Field(ge=100, le=60_000)] = 1_000
     heartbeat_ms: Annotated[int, Field(ge=10, le=10_000)] = 200
